Add build, api module and design page

The api module holds the types that all programs share: configuration and tickets, error kinds with their answers, messages between processes, log records, platform interfaces, checked INI settings, clock and timer service. docs/design.md gives the requirements, the decisions with the options considered, and the interfaces between modules.

--- /dev/null
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/config/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration that tickets build, and the tickets themselves. */
+package io.kumquatspindle.api.config;
--- /dev/null
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/error/package-info.java
@@ -0,0 +1,2 @@
+/** The closed list of error kinds and the answer of each. */
+package io.kumquatspindle.api.error;
--- /dev/null
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/json/package-info.java
@@ -0,0 +1,2 @@
+/** The JSON codec of tickets and log records. */
+package io.kumquatspindle.api.json;
--- /dev/null
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/message/PeerMessage.java
@@ -0,0 +1,128 @@
+package io.kumquatspindle.api.message;
+
+import io.kumquatspindle.api.config.Configuration;
+import io.kumquatspindle.api.model.CustomerName;
+import io.kumquatspindle.api.model.FailureDomain;
+import io.kumquatspindle.api.model.VmId;
+import io.kumquatspindle.api.platform.EndpointReport;
+import io.kumquatspindle.api.platform.LogRecord;
+import java.util.List;
+
+/** Messages between control programs. */
+public sealed interface PeerMessage extends Message {
+
+  /**
+   * First message of a control program on a connection.
+   *
+   * @param vm the sender's VM
+   * @param failureDomain the sender's failure domain
+   * @param address IP address and port that the sender listens on
+   * @param incarnation changes each time the control program starts
+   * @param protocol version of the protocol
+   */
+  record PeerHello(
+      VmId vm, FailureDomain failureDomain, String address, String incarnation, int protocol)
+      implements PeerMessage {}
+
+  /** What a control believes about another one. */
+  enum MemberState {
+    /** Heard of within the time limit. */
+    ALIVE,
+    /** Not heard of for a while. */
+    SUSPECT,
+    /** Said that it stops. */
+    LEAVING,
+    /** Gone for good. */
+    GONE
+  }
+
+  /**
+   * What the sender knows of a member.
+   *
+   * @param vm the member's VM
+   * @param failureDomain its failure domain
+   * @param address IP address and port of its control program
+   * @param incarnation number that the member raises at each start and to refute a suspicion
+   * @param heartbeat number that the member raises each second
+   * @param state what the sender believes
+   * @param configurationNumber number of the last ticket in force at the member
+   */
+  record Member(
+      VmId vm,
+      FailureDomain failureDomain,
+      String address,
+      long incarnation,
+      long heartbeat,
+      MemberState state,
+      long configurationNumber) {}
+
+  /**
+   * One round of gossip.
+   *
+   * @param ticketsOffset next offset of the tickets stream that the sender has not applied
+   * @param confirmedAgoMs time since the sender was last confirmed up to date, in milliseconds
+   * @param members members whose state changed lately, and the sender
+   * @param reports endpoint reports that the sender polled or received lately
+   */
+  record Gossip(
+      long ticketsOffset, long confirmedAgoMs, List<Member> members, List<EndpointReport> reports)
+      implements PeerMessage {}
+
+  /**
+   * Answer to {@link Gossip}, with the same fields.
+   *
+   * @param ticketsOffset next offset of the tickets stream that the sender has not applied
+   * @param confirmedAgoMs time since the sender was last confirmed up to date, in milliseconds
+   * @param members members whose state changed lately, and the sender
+   * @param reports endpoint reports that the sender polled or received lately
+   */
+  record GossipReply(
+      long ticketsOffset, long confirmedAgoMs, List<Member> members, List<EndpointReport> reports)
+      implements PeerMessage {}
+
+  /**
+   * Asks for records of a stream that the sender cannot read from the log.
+   *
+   * @param stream name of the stream
+   * @param from first offset wanted
+   */
+  record RecordsRequest(String stream, long from) implements PeerMessage {}
+
+  /**
+   * Answer to {@link RecordsRequest}.
+   *
+   * @param stream name of the stream
+   * @param earliest oldest offset that the sender still holds
+   * @param records records in offset order
+   */
+  record Records(String stream, long earliest, List<LogRecord> records) implements PeerMessage {}
+
+  /** Asks for the whole configuration. */
+  record SnapshotRequest() implements PeerMessage {}
+
+  /**
+   * Answer to {@link SnapshotRequest}.
+   *
+   * @param ticketsOffset next offset of the tickets stream that has not been applied
+   * @param configuration the whole configuration
+   */
+  record Snapshot(long ticketsOffset, Configuration configuration) implements PeerMessage {}
+
+  /**
+   * Asks a peer for tokens of a customer.
+   *
+   * @param id number of the request, unique within the sender's incarnation
+   * @param customer the customer
+   * @param tokens tokens wanted
+   */
+  record TransferRequest(long id, CustomerName customer, long tokens) implements PeerMessage {}
+
+  /**
+   * Gives tokens to a peer; the sender has subtracted them.
+   *
+   * @param id number of the request
+   * @param customer the customer
+   * @param tokens tokens given, 0 if none
+   */
+  record Transfer(long id, CustomerName customer, long tokens) implements PeerMessage {}
+}
--- /dev/null
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/message/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between processes of the system. */
+package io.kumquatspindle.api.message;
--- /dev/null
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/model/EndpointName.java
@@ -0,0 +1,38 @@
+package io.kumquatspindle.api.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Names an endpoint: a model engine or an instance of a plain service.
+ *
+ * @param value the text form, never blank
+ */
+public record EndpointName(@JsonValue String value) implements Comparable<EndpointName> {
+
+  /** Checks the text form. */
+  @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+  public EndpointName {
+    Names.requireName(value, "endpoint");
+  }
+
+  /**
+   * Returns the identifier with the given text form.
+   *
+   * @param value the text form, never blank
+   * @return the identifier
+   */
+  public static EndpointName of(String value) {
+    return new EndpointName(value);
+  }
+
+  @Override
+  public int compareTo(EndpointName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/model/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers and small value types. */
+package io.kumquatspindle.api.model;
--- /dev/null
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/platform/VmList.java
@@ -0,0 +1,15 @@
+package io.kumquatspindle.api.platform;
+
+import java.util.List;
+import java.util.Optional;
+
+/** The platform's list of live and leaving VMs, which lags. */
+public interface VmList {
+
+  /**
+   * Reads the list.
+   *
+   * @return the VMs, or empty if the list cannot be read now
+   */
+  Optional<List<ListedVm>> read();
+}
--- /dev/null
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Checked INI settings. */
+package io.kumquatspindle.api.settings;
--- /dev/null
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/time/package-info.java
@@ -0,0 +1,2 @@
+/** Clocks and the timer service. */
+package io.kumquatspindle.api.time;
--- /dev/null
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Demo, load tool and measurements. */
+package io.kumquatspindle.bench;
--- /dev/null
+++ b/kumquatspindle-cli/src/main/java/io/kumquatspindle/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command. */
+package io.kumquatspindle.cli;
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control program of an entry VM. */
+package io.kumquatspindle.control;
--- /dev/null
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Decision code: pure state machines without I/O. */
+package io.kumquatspindle.engine;
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry program that serves callers. */
+package io.kumquatspindle.entry;
--- /dev/null
+++ b/kumquatspindle-standins/src/main/java/io/kumquatspindle/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins of the platform and of endpoints, for tests and the demo. */
+package io.kumquatspindle.standins;
--- /dev/null
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Framed MessagePack between processes and HTTP clients of the platform. */
+package io.kumquatspindle.transport;
