--- a/kumquatspindle-api/src/main/java/io/kumquatspindle/api/message/PeerMessage.java
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/message/PeerMessage.java
@@ -1,6 +1,5 @@
 package io.kumquatspindle.api.message;
 
-import io.kumquatspindle.api.config.Configuration;
 import io.kumquatspindle.api.model.CustomerName;
 import io.kumquatspindle.api.model.FailureDomain;
 import io.kumquatspindle.api.model.VmId;
@@ -97,16 +96,22 @@
    */
   record Records(String stream, long earliest, List<LogRecord> records) implements PeerMessage {}
 
-  /** Asks for the whole configuration. */
-  record SnapshotRequest() implements PeerMessage {}
+  /**
+   * Asks for the whole fold of a stream.
+   *
+   * @param stream name of the stream
+   */
+  record SnapshotRequest(String stream) implements PeerMessage {}
 
   /**
    * Answer to {@link SnapshotRequest}.
    *
-   * @param ticketsOffset next offset of the tickets stream that has not been applied
-   * @param configuration the whole configuration
+   * @param stream name of the stream
+   * @param offset next offset of the stream that the fold has not applied
+   * @param state JSON text of the fold in UTF-8; empty if the sender has none
    */
-  record Snapshot(long ticketsOffset, Configuration configuration) implements PeerMessage {}
+  @SuppressWarnings("ArrayRecordComponent") // instances are never compared
+  record Snapshot(String stream, long offset, byte[] state) implements PeerMessage {}
 
   /**
    * Asks a peer for tokens of a customer.
