--- a/kumquatspindle-api/src/main/java/io/kumquatspindle/api/message/PeerMessage.java
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/message/PeerMessage.java
@@ -55,6 +55,14 @@
       MemberState state,
       long configurationNumber) {}
 
+  /**
+   * An endpoint report and its age.
+   *
+   * @param ageMs time since the endpoint was polled, in milliseconds
+   * @param report the report
+   */
+  record AgedReport(long ageMs, EndpointReport report) {}
+
   /**
    * One round of gossip.
    *
@@ -62,9 +70,16 @@
    * @param confirmedAgoMs time since the sender was last confirmed up to date, in milliseconds
    * @param members members whose state changed lately, and the sender
    * @param reports endpoint reports that the sender polled or received lately
+   * @param decisionsOffset next offset of the decisions stream that the sender has not applied
+   * @param sharesOffset next offset of the shares stream that the sender has not applied
    */
   record Gossip(
-      long ticketsOffset, long confirmedAgoMs, List<Member> members, List<EndpointReport> reports)
+      long ticketsOffset,
+      long confirmedAgoMs,
+      List<Member> members,
+      List<AgedReport> reports,
+      long decisionsOffset,
+      long sharesOffset)
       implements PeerMessage {}
 
   /**
@@ -74,9 +89,16 @@
    * @param confirmedAgoMs time since the sender was last confirmed up to date, in milliseconds
    * @param members members whose state changed lately, and the sender
    * @param reports endpoint reports that the sender polled or received lately
+   * @param decisionsOffset next offset of the decisions stream that the sender has not applied
+   * @param sharesOffset next offset of the shares stream that the sender has not applied
    */
   record GossipReply(
-      long ticketsOffset, long confirmedAgoMs, List<Member> members, List<EndpointReport> reports)
+      long ticketsOffset,
+      long confirmedAgoMs,
+      List<Member> members,
+      List<AgedReport> reports,
+      long decisionsOffset,
+      long sharesOffset)
       implements PeerMessage {}
 
   /**
