--- /dev/null
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/settings/IpAddress.java
@@ -0,0 +1,39 @@
+package io.kumquatspindle.api.settings;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.regex.Pattern;
+
+/** Parses IP addresses with a port, as in {@code 127.0.0.1:7101} or {@code [::1]:7101}. */
+public final class IpAddress {
+  // Host names are refused, since looking them up can block.
+  private static final Pattern FORM =
+      Pattern.compile("[0-9.]+:[0-9]{1,5}|\\[[0-9a-fA-F:]+\\]:[0-9]{1,5}");
+  private static final int MAX_PORT = 65_535;
+
+  private IpAddress() {}
+
+  /**
+   * Parses an address.
+   *
+   * @param text IP address and port
+   * @return the address
+   * @throws IllegalArgumentException if the text is not an IP address and port
+   */
+  public static InetSocketAddress parse(String text) {
+    if (!FORM.matcher(text).matches()) {
+      throw new IllegalArgumentException("not an IP address and port: " + text);
+    }
+    int colon = text.lastIndexOf(':');
+    int port = Integer.parseInt(text.substring(colon + 1));
+    if (port > MAX_PORT) {
+      throw new IllegalArgumentException("not a port: " + port);
+    }
+    try {
+      return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)), port);
+    } catch (UnknownHostException e) {
+      throw new IllegalArgumentException("not an IP address: " + text, e);
+    }
+  }
+}
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlSettings.java
@@ -0,0 +1,123 @@
+package io.kumquatspindle.control;
+
+import io.kumquatspindle.api.model.FailureDomain;
+import io.kumquatspindle.api.model.VmId;
+import io.kumquatspindle.api.settings.Settings;
+import io.kumquatspindle.api.settings.SettingsException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/**
+ * Settings of the control program, checked.
+ *
+ * @param vm this VM
+ * @param failureDomain failure domain of this VM
+ * @param peerAddress IP address and port for control and entry programs
+ * @param adminAddress IP address and port of the admin pages
+ * @param logUrl base URL of the platform's log service
+ * @param vmListUrl base URL of the platform's VM list
+ * @param storeUrl base URL of the platform's weight store
+ * @param seedAddresses peer addresses that are tried at start
+ * @param logRetention how long the log keeps records
+ * @param idempotencyWindow how long an idempotency key is remembered
+ * @param replicaIdleLimit time without use after which a replica is unloaded
+ * @param orderTimeout longest time that an order to an endpoint may take
+ * @param reportPeriod time between polls of an endpoint's report
+ * @param stopLimit longest time that a stop may take
+ * @param logFormat format of log lines, {@code json} or {@code text}
+ * @param logLevel least severe level that is logged
+ */
+public record ControlSettings(
+    VmId vm,
+    FailureDomain failureDomain,
+    String peerAddress,
+    String adminAddress,
+    String logUrl,
+    String vmListUrl,
+    String storeUrl,
+    List<String> seedAddresses,
+    Duration logRetention,
+    Duration idempotencyWindow,
+    Duration replicaIdleLimit,
+    Duration orderTimeout,
+    Duration reportPeriod,
+    Duration stopLimit,
+    String logFormat,
+    String logLevel) {
+
+  private static final Pattern ADDRESS = Pattern.compile("[0-9a-fA-F.:\\[\\]]+:[0-9]{1,5}");
+  private static final Pattern URL = Pattern.compile("https?://[^\\s/]+(/\\S*)?");
+  private static final Duration SECOND = Duration.ofSeconds(1);
+  private static final Duration DAY = Duration.ofDays(1);
+
+  /**
+   * Reads and checks a settings file.
+   *
+   * @param file the file
+   * @return the settings
+   * @throws SettingsException if a value is absent, faulty or unknown
+   */
+  public static ControlSettings load(Path file) throws SettingsException {
+    Settings s = Settings.load(file);
+    Optional<VmId> vm = s.value("vm", "id", "a VM name", t -> Optional.of(VmId.of(t)));
+    Optional<FailureDomain> domain =
+        s.value("vm", "failure_domain", "a failure domain", t -> Optional.of(FailureDomain.of(t)));
+    String peers = address(s, "listen", "peers");
+    String admin = address(s, "listen", "admin");
+    String log = url(s, "log_url");
+    String vms = url(s, "vm_list_url");
+    String store = url(s, "store_url");
+    Duration retention =
+        s.millis(
+            "platform", "log_retention_ms", DAY.multipliedBy(7), SECOND, DAY.multipliedBy(365));
+    ControlSettings result =
+        new ControlSettings(
+            vm.orElse(VmId.of("absent")),
+            domain.orElse(FailureDomain.of("absent")),
+            peers,
+            admin,
+            log,
+            vms,
+            store,
+            s.list("peers", "seed_addresses"),
+            retention,
+            s.millis("idempotency", "window_ms", DAY, SECOND, DAY),
+            s.millis("placement", "idle_limit_ms", Duration.ofMinutes(10), SECOND, DAY),
+            s.millis("placement", "order_timeout_ms", Duration.ofMinutes(5), SECOND, DAY),
+            s.millis("placement", "report_period_ms", Duration.ofMillis(500), MIN_PERIOD, DAY),
+            s.millis("stop", "limit_ms", Duration.ofSeconds(10), SECOND, DAY),
+            oneOf(s, "log", "format", "json", List.of("json", "text")),
+            oneOf(s, "log", "level", "INFO", List.of("DEBUG", "INFO", "WARN", "ERROR")));
+    s.finish();
+    return result;
+  }
+
+  private static final Duration MIN_PERIOD = Duration.ofMillis(50);
+
+  private static String address(Settings s, String section, String key) {
+    return matching(s, section, key, ADDRESS, "an IP address and port, as in 127.0.0.1:7101");
+  }
+
+  private static String url(Settings s, String key) {
+    return matching(s, "platform", key, URL, "an http URL, as in http://127.0.0.1:7000");
+  }
+
+  private static String matching(
+      Settings s, String section, String key, Pattern pattern, String expected) {
+    return s.value(
+            section, key, expected, t -> Optional.of(t).filter(v -> pattern.matcher(v).matches()))
+        .orElse("");
+  }
+
+  private static String oneOf(
+      Settings s, String section, String key, String standard, List<String> allowed) {
+    String v = s.text(section, key, standard);
+    if (!allowed.contains(v)) {
+      s.fault(section, key, "one of " + String.join(", ", allowed));
+    }
+    return v;
+  }
+}
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/config/ConfigurationEvent.java
@@ -0,0 +1,14 @@
+package io.kumquatspindle.control.config;
+
+import io.kumquatspindle.control.state.StreamEvent;
+
+/** Events of the configuration controller. */
+sealed interface ConfigurationEvent {
+
+  /** An event of the tickets stream. */
+  record Stream(StreamEvent event) implements ConfigurationEvent {}
+
+  /** A peer said how recently it was confirmed. */
+  record PeerConfirmed(long peerOffset, long peerConfirmedAgoMs, long askedAtMs)
+      implements ConfigurationEvent {}
+}
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/config/ConfigurationFoldAdapter.java
@@ -0,0 +1,49 @@
+package io.kumquatspindle.control.config;
+
+import com.google.common.flogger.FluentLogger;
+import io.kumquatspindle.api.config.Configuration;
+import io.kumquatspindle.api.json.Json;
+import io.kumquatspindle.api.platform.LogRecord;
+import io.kumquatspindle.control.state.StreamFold;
+import io.kumquatspindle.engine.config.ConfigurationFold;
+import java.io.IOException;
+
+/** Lets a stream feed drive the fold of the tickets stream. */
+final class ConfigurationFoldAdapter implements StreamFold {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private ConfigurationFold fold = ConfigurationFold.initial();
+
+  Configuration configuration() {
+    return fold.configuration();
+  }
+
+  @Override
+  public long nextOffset() {
+    return fold.nextOffset();
+  }
+
+  @Override
+  public void apply(LogRecord r) {
+    ConfigurationFold.Step step = fold.apply(r);
+    if (step instanceof ConfigurationFold.Step.Accepted accepted) {
+      logger.atInfo().log(
+          "ticket %d by %s in force, offset %d",
+          accepted.ticket().number(), accepted.ticket().author(), r.offset());
+      fold = accepted.fold();
+    } else if (step instanceof ConfigurationFold.Step.Ignored ignored) {
+      logger.atInfo().log("record at offset %d ignored: %s", r.offset(), ignored.reason());
+      fold = ignored.fold();
+    }
+  }
+
+  @Override
+  public byte[] state() {
+    return Json.encode(fold.configuration());
+  }
+
+  @Override
+  public void restore(long offset, byte[] state) throws IOException {
+    fold = ConfigurationFold.of(offset, Json.decode(state, Configuration.class));
+  }
+}
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/entry/EntrySessions.java
@@ -0,0 +1,135 @@
+package io.kumquatspindle.control.entry;
+
+import com.google.common.flogger.FluentLogger;
+import io.kumquatspindle.api.message.EntryMessage;
+import io.kumquatspindle.api.message.EntryMessage.EntryHello;
+import io.kumquatspindle.api.message.Message;
+import io.kumquatspindle.api.model.VmId;
+import io.kumquatspindle.api.time.MonotonicClock;
+import io.kumquatspindle.control.config.ConfigurationController;
+import io.kumquatspindle.control.config.ConfigurationState;
+import io.kumquatspindle.control.placement.ReportBoard;
+import io.kumquatspindle.transport.link.Link;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+
+/** The entry programs that are connected, and what they are sent. */
+public final class EntrySessions {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final ConfigurationController configuration;
+  private final Supplier<EntryMessage.PlacementUpdate> placement;
+  private final ReportBoard reports;
+  private final MonotonicClock clock;
+  private final Map<Link, EntryHello> sessions = new ConcurrentHashMap<>();
+
+  /**
+   * Creates the sessions.
+   *
+   * @param configuration the configuration in force
+   * @param placement the replicas at present
+   * @param reports the reports of endpoints
+   * @param clock the monotonic clock
+   */
+  public EntrySessions(
+      ConfigurationController configuration,
+      Supplier<EntryMessage.PlacementUpdate> placement,
+      ReportBoard reports,
+      MonotonicClock clock) {
+    this.configuration = configuration;
+    this.placement = placement;
+    this.reports = reports;
+    this.clock = clock;
+  }
+
+  /**
+   * Takes a new entry program and sends it the whole state.
+   *
+   * @param link its connection
+   * @param hello its first message
+   */
+  public void hello(Link link, EntryHello hello) {
+    if (hello.protocol() != EntryHello.PROTOCOL) {
+      link.close("protocol " + hello.protocol() + " is not supported");
+      return;
+    }
+    sessions.put(link, hello);
+    logger.atInfo().log("entry of %s connected, incarnation %s", hello.vm(), hello.incarnation());
+    link.send(update(configuration.state()));
+    link.send(placement.get());
+    link.send(new EntryMessage.EndpointLoads(reports.loads()));
+  }
+
+  /**
+   * Forgets a connection.
+   *
+   * @param link the connection
+   * @return the entry program that used it
+   */
+  public Optional<EntryHello> closed(Link link) {
+    return Optional.ofNullable(sessions.remove(link));
+  }
+
+  /**
+   * Returns the VM of the entry program on a connection.
+   *
+   * @param link the connection
+   * @return its VM, or empty for other connections
+   */
+  public Optional<VmId> vm(Link link) {
+    return Optional.ofNullable(sessions.get(link)).map(EntryHello::vm);
+  }
+
+  /**
+   * Sends a new configuration.
+   *
+   * @param state the configuration
+   */
+  public void configurationInForce(ConfigurationState state) {
+    broadcast(update(state));
+  }
+
+  /** Sends how recently the configuration was confirmed. */
+  public void sendFreshness() {
+    ConfigurationState s = configuration.state();
+    broadcast(new EntryMessage.Freshness(s.nextOffset(), s.confirmedAgoMs(clock.nowMs())));
+  }
+
+  /** Sends the replicas. */
+  public void sendPlacement() {
+    broadcast(placement.get());
+  }
+
+  /** Sends the load of endpoints. */
+  public void sendLoads() {
+    broadcast(new EntryMessage.EndpointLoads(reports.loads()));
+  }
+
+  /**
+   * Sends a message to every entry program.
+   *
+   * @param message the message
+   */
+  public void broadcast(Message message) {
+    for (Link link : List.copyOf(sessions.keySet())) {
+      link.send(message);
+    }
+  }
+
+  /**
+   * Returns the number of connected entry programs.
+   *
+   * @return how many
+   */
+  public int size() {
+    return sessions.size();
+  }
+
+  private EntryMessage.ConfigUpdate update(ConfigurationState s) {
+    return new EntryMessage.ConfigUpdate(
+        s.nextOffset(), s.confirmedAgoMs(clock.nowMs()), s.configuration());
+  }
+}
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/placement/OrderExecutor.java
@@ -0,0 +1,57 @@
+package io.kumquatspindle.control.placement;
+
+import io.kumquatspindle.api.platform.OrderResult;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** Runs orders to endpoints, each of which blocks until the endpoint has carried it out. */
+public final class OrderExecutor implements AutoCloseable {
+  private static final int MAX_ORDERS = 48;
+  private static final long KEEP_ALIVE_S = 10;
+
+  private final ThreadPoolExecutor threads =
+      new ThreadPoolExecutor(
+          0,
+          MAX_ORDERS,
+          KEEP_ALIVE_S,
+          TimeUnit.SECONDS,
+          new SynchronousQueue<>(),
+          r -> {
+            Thread t = new Thread(r, "order");
+            t.setDaemon(true);
+            return t;
+          });
+
+  /**
+   * Runs an order.
+   *
+   * @param order sends the order and waits for its outcome
+   * @param done takes the outcome, on the order's thread or, if too many orders run, on the
+   *     caller's
+   */
+  public void run(Supplier<OrderResult> order, Consumer<OrderResult> done) {
+    try {
+      threads.execute(() -> done.accept(order.get()));
+    } catch (RejectedExecutionException e) {
+      done.accept(new OrderResult.Refused("too many orders in progress at this VM"));
+    }
+  }
+
+  /**
+   * Returns the number of orders in progress.
+   *
+   * @return how many
+   */
+  public int inProgress() {
+    return threads.getActiveCount();
+  }
+
+  @Override
+  public void close() {
+    threads.shutdown();
+  }
+}
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/placement/PlacementFoldAdapter.java
@@ -0,0 +1,146 @@
+package io.kumquatspindle.control.placement;
+
+import com.google.common.flogger.FluentLogger;
+import io.kumquatspindle.api.config.Configuration;
+import io.kumquatspindle.api.json.Json;
+import io.kumquatspindle.api.message.EntryMessage;
+import io.kumquatspindle.api.message.EntryMessage.PlacementUpdate;
+import io.kumquatspindle.api.message.EntryMessage.ReplicaState;
+import io.kumquatspindle.api.model.VmId;
+import io.kumquatspindle.api.platform.LogRecord;
+import io.kumquatspindle.api.record.DecisionRecord;
+import io.kumquatspindle.api.time.MonotonicClock;
+import io.kumquatspindle.control.state.StreamFold;
+import io.kumquatspindle.engine.placement.LoadAction;
+import io.kumquatspindle.engine.placement.LoadController;
+import io.kumquatspindle.engine.placement.LoadSettings;
+import io.kumquatspindle.engine.placement.PlacementFold;
+import io.kumquatspindle.engine.placement.PlacementState;
+import io.kumquatspindle.engine.placement.Replica;
+import io.kumquatspindle.engine.placement.Verdict;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/** The fold of the decisions stream together with the load controller that follows it. */
+public final class PlacementFoldAdapter implements StreamFold {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final VmId vm;
+  private final String incarnation;
+  private final LoadSettings settings;
+  private final RandomGenerator random;
+  private final MonotonicClock clock;
+  private final List<LoadAction> actions = new ArrayList<>();
+  private Configuration configuration = Configuration.EMPTY;
+  private PlacementFold fold;
+  private LoadController controller;
+  private long nextOffset;
+  private int restores;
+
+  /**
+   * Creates an adapter with an empty fold.
+   *
+   * @param vm this VM
+   * @param incarnation identifier of this process
+   * @param settings times and speeds
+   * @param random source of random waits
+   * @param clock the monotonic clock
+   */
+  public PlacementFoldAdapter(
+      VmId vm,
+      String incarnation,
+      LoadSettings settings,
+      RandomGenerator random,
+      MonotonicClock clock) {
+    this.vm = vm;
+    this.incarnation = incarnation;
+    this.settings = settings;
+    this.random = random;
+    this.clock = clock;
+    use(PlacementFold.initial());
+  }
+
+  LoadController controller() {
+    return controller;
+  }
+
+  void configuration(Configuration c) {
+    configuration = c;
+  }
+
+  /** Returns the actions that applying records has led to since the last call. */
+  List<LoadAction> takeActions() {
+    List<LoadAction> taken = List.copyOf(actions);
+    actions.clear();
+    return taken;
+  }
+
+  @Override
+  public long nextOffset() {
+    return nextOffset;
+  }
+
+  @Override
+  public void apply(LogRecord r) {
+    nextOffset = r.offset() + 1;
+    DecisionRecord record;
+    try {
+      record = Json.decode(r.value(), DecisionRecord.class);
+    } catch (IOException e) {
+      logger.atWarning().withCause(e).log("decision at offset %d cannot be read", r.offset());
+      return;
+    }
+    Verdict verdict = fold.apply(r.offset(), r.timeMs(), record);
+    logger.atFine().log("decision %d: %s %s", r.offset(), record, verdict);
+    actions.addAll(controller.decisionApplied(r.offset(), record, verdict, clock.nowMs()));
+  }
+
+  @Override
+  public byte[] state() {
+    return Json.encode(fold.toState());
+  }
+
+  @Override
+  public void restore(long offset, byte[] state) throws IOException {
+    PlacementState s = Json.decode(state, PlacementState.class);
+    nextOffset = offset;
+    use(PlacementFold.of(s));
+    actions.addAll(controller.configuration(configuration, clock.nowMs()));
+  }
+
+  // The load controller is built anew with the fold, under an incarnation of its own, since what
+  // it knew of earlier decisions belongs to the fold that was replaced.
+  private void use(PlacementFold f) {
+    fold = f;
+    controller =
+        LoadController.builder(vm, incarnation + "." + restores, fold)
+            .settings(settings)
+            .random(random)
+            .build(clock.nowMs());
+    restores++;
+  }
+
+  /** Returns the replicas as entry programs see them. */
+  PlacementUpdate toUpdate(Outlooks outlooks) {
+    List<EntryMessage.Replica> list = new ArrayList<>();
+    for (Replica r : fold.replicas()) {
+      ReplicaState state = stateOf(r);
+      long expected = state == ReplicaState.LOADING ? outlooks.expectedReadyMs(r.artifact()) : 0;
+      list.add(new EntryMessage.Replica(r.endpoint(), r.artifact(), state, expected));
+    }
+    return new PlacementUpdate(list);
+  }
+
+  private static ReplicaState stateOf(Replica r) {
+    switch (r.state()) {
+      case LOADED:
+        return ReplicaState.READY;
+      case UNLOADING:
+        return ReplicaState.DRAINING;
+      default:
+        return ReplicaState.LOADING;
+    }
+  }
+}
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/placement/ReportBoard.java
@@ -0,0 +1,110 @@
+package io.kumquatspindle.control.placement;
+
+import io.kumquatspindle.api.message.EntryMessage.EndpointLoad;
+import io.kumquatspindle.api.message.PeerMessage.AgedReport;
+import io.kumquatspindle.api.model.EndpointName;
+import io.kumquatspindle.api.platform.EndpointReport;
+import io.kumquatspindle.api.time.MonotonicClock;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The newest report of each endpoint, polled here or received by gossip. Safe for use by several
+ * threads.
+ */
+public final class ReportBoard {
+  /** How often a report that was polled here is passed on. */
+  public static final int OWN_TRANSMISSIONS = 6;
+
+  /** How often a report that came from a peer is passed on. */
+  public static final int RELAYED_TRANSMISSIONS = 2;
+
+  private static final int MAX_REPORTS_PER_MESSAGE = 24;
+  private static final long MAX_AGE_MS = 60_000;
+
+  private final MonotonicClock clock;
+  private final Map<EndpointName, Entry> entries = new HashMap<>();
+
+  /**
+   * Creates an empty board.
+   *
+   * @param clock the monotonic clock
+   */
+  public ReportBoard(MonotonicClock clock) {
+    this.clock = clock;
+  }
+
+  /**
+   * Takes a report if it is newer than the one held.
+   *
+   * @param report the report
+   * @param takenAtMs when the endpoint was polled, on the monotonic clock
+   * @param transmissions how often it is to be passed on
+   * @return whether it was newer
+   */
+  public synchronized boolean put(EndpointReport report, long takenAtMs, int transmissions) {
+    Entry held = entries.get(report.endpoint());
+    if (held != null && held.takenAtMs >= takenAtMs) {
+      return false;
+    }
+    entries.put(report.endpoint(), new Entry(report, takenAtMs, transmissions));
+    return true;
+  }
+
+  /**
+   * Returns reports to pass on, and counts them as passed on.
+   *
+   * @return at most as many as fit a gossip message
+   */
+  public synchronized List<AgedReport> takeForGossip() {
+    long now = clock.nowMs();
+    List<AgedReport> result = new ArrayList<>();
+    for (Entry e : entries.values()) {
+      if (result.size() >= MAX_REPORTS_PER_MESSAGE) {
+        break;
+      }
+      if (e.transmissionsLeft > 0) {
+        e.transmissionsLeft--;
+        result.add(new AgedReport(now - e.takenAtMs, e.report));
+      }
+    }
+    return result;
+  }
+
+  /**
+   * Returns the load of every endpoint that has reported lately.
+   *
+   * @return one element for each endpoint
+   */
+  public synchronized List<EndpointLoad> loads() {
+    long now = clock.nowMs();
+    entries.values().removeIf(e -> now - e.takenAtMs > MAX_AGE_MS);
+    List<EndpointLoad> result = new ArrayList<>(entries.size());
+    for (Entry e : entries.values()) {
+      EndpointReport r = e.report;
+      result.add(
+          new EndpointLoad(
+              r.endpoint(),
+              r.running(),
+              r.waiting(),
+              r.capacity(),
+              r.leaving(),
+              now - e.takenAtMs));
+    }
+    return result;
+  }
+
+  private static final class Entry {
+    private final EndpointReport report;
+    private final long takenAtMs;
+    private int transmissionsLeft;
+
+    private Entry(EndpointReport report, long takenAtMs, int transmissions) {
+      this.report = report;
+      this.takenAtMs = takenAtMs;
+      this.transmissionsLeft = transmissions;
+    }
+  }
+}
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/snapshot/SnapshotService.java
@@ -0,0 +1,146 @@
+package io.kumquatspindle.control.snapshot;
+
+import com.google.common.flogger.FluentLogger;
+import io.kumquatspindle.api.json.Json;
+import io.kumquatspindle.api.platform.AppendResult;
+import io.kumquatspindle.api.platform.LogRecord;
+import io.kumquatspindle.api.platform.ReadResult;
+import io.kumquatspindle.api.platform.StreamName;
+import io.kumquatspindle.api.record.SnapshotChunk;
+import io.kumquatspindle.control.log.LogAppender;
+import io.kumquatspindle.control.log.StreamListener;
+import io.kumquatspindle.control.state.StreamEvent;
+import io.kumquatspindle.control.state.StreamOwner;
+import io.kumquatspindle.engine.config.Snapshot;
+import io.kumquatspindle.engine.config.SnapshotCollector;
+import io.kumquatspindle.engine.config.SnapshotSchedule;
+import io.kumquatspindle.engine.config.Snapshots;
+import java.io.IOException;
+import java.time.InstantSource;
+import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.UUID;
+
+/**
+ * Reads snapshots from the log for the owners of streams, and writes them when they are due.
+ *
+ * <p>Its state belongs to the thread that follows the snapshots stream.
+ */
+public final class SnapshotService implements StreamListener {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  // A snapshot that was asked for or appended counts as under way for this long.
+  private static final long WRITE_TIMEOUT_MS = 30_000;
+
+  private final Map<StreamName, StreamOwner> owners;
+  private final LogAppender appender;
+  private final SnapshotSchedule schedule;
+  private final InstantSource wallClock;
+  private final SnapshotCollector collector = new SnapshotCollector();
+  private final Map<StreamName, Long> newestMs = new EnumMap<>(StreamName.class);
+  private final Map<StreamName, Long> startedMs = new EnumMap<>(StreamName.class);
+  private long nextOffset;
+
+  /**
+   * Creates a service.
+   *
+   * @param owners owners of the streams that have snapshots
+   * @param appender appends to the snapshots stream
+   * @param schedule when to write
+   * @param wallClock the clock that log times are compared with
+   */
+  public SnapshotService(
+      Map<StreamName, StreamOwner> owners,
+      LogAppender appender,
+      SnapshotSchedule schedule,
+      InstantSource wallClock) {
+    this.owners = new EnumMap<>(owners);
+    this.appender = appender;
+    this.schedule = schedule;
+    this.wallClock = wallClock;
+  }
+
+  @Override
+  public boolean read(ReadResult.Batch batch, long askedAtMs) {
+    for (LogRecord r : batch.records()) {
+      Optional<Snapshot> complete = collector.accept(r);
+      complete.ifPresent(this::deliver);
+    }
+    long next = batch.records().isEmpty() ? batch.earliest() : lastOffset(batch) + 1;
+    nextOffset = Math.max(nextOffset, next);
+    if (nextOffset >= batch.end()) {
+      writeWhatIsDue();
+    }
+    return true;
+  }
+
+  @Override
+  public void unavailable(String reason) {
+    logger.atFine().log("snapshots stream cannot be read: %s", reason);
+  }
+
+  @Override
+  public long nextOffset() {
+    return nextOffset;
+  }
+
+  private static long lastOffset(ReadResult.Batch batch) {
+    return batch.records().get(batch.records().size() - 1).offset();
+  }
+
+  private void deliver(Snapshot s) {
+    newestMs.merge(s.stream(), s.timeMs(), Math::max);
+    StreamOwner owner = owners.get(s.stream());
+    if (owner != null) {
+      owner.offer(new StreamEvent.SnapshotFound(s.offset(), s.json()));
+    }
+  }
+
+  private void writeWhatIsDue() {
+    long now = wallClock.millis();
+    Set<StreamName> streams = EnumSet.copyOf(owners.keySet());
+    for (StreamName stream : streams) {
+      if (isDue(stream, now)) {
+        startedMs.put(stream, now);
+        StreamOwner owner = owners.get(stream);
+        owner.offer(new StreamEvent.StateWanted((offset, state) -> write(stream, offset, state)));
+      }
+    }
+  }
+
+  private boolean isDue(StreamName stream, long now) {
+    StreamOwner owner = owners.get(stream);
+    OptionalLong oldest = owner.oldestRecordMs();
+    boolean underWay = now - startedMs.getOrDefault(stream, 0L) < WRITE_TIMEOUT_MS;
+    if (owner.nextOffset() == 0 || oldest.isEmpty() || underWay) {
+      return false;
+    }
+    Long newest = newestMs.get(stream);
+    OptionalLong n = newest == null ? OptionalLong.empty() : OptionalLong.of(newest);
+    return schedule.delayMs(n, oldest.getAsLong(), now) == 0;
+  }
+
+  // Called on the owner's thread; appending does not block it.
+  private void write(StreamName stream, long offset, byte[] state) {
+    try {
+      Object fold = Json.mapper().readTree(state);
+      String id = UUID.randomUUID().toString();
+      for (SnapshotChunk c : Snapshots.split(stream, offset, id, fold)) {
+        appender.append(Json.encode(c), r -> logFailure(stream, r));
+      }
+      logger.atInfo().log("snapshot of %s at offset %d written", stream.path(), offset);
+    } catch (IOException e) {
+      logger.atWarning().withCause(e).log("fold of %s cannot be encoded", stream.path());
+    }
+  }
+
+  private static void logFailure(StreamName stream, AppendResult result) {
+    if (!(result instanceof AppendResult.Appended)) {
+      logger.atWarning().log("snapshot of %s: %s", stream.path(), result);
+    }
+  }
+}
