--- /dev/null
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/codec/package-info.java
@@ -0,0 +1,2 @@
+/** The MessagePack form of messages between processes of the system. */
+package io.kumquatspindle.transport.codec;
