Add framed connections between processes

Both sides send heartbeats and close a connection that brings no whole frame within the silence limit, since an open connection can stop carrying data without an error. Buffers are allocated in small chunks, because the control program runs with a 64 MB heap.

--- /dev/null
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/link/LinkClient.java
@@ -0,0 +1,222 @@
+package io.kumquatspindle.transport.link;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/** Keeps one connection to one address and connects again when it is lost. */
+public final class LinkClient implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int LOG_PERIOD_SECONDS = 10;
+
+  private final LinkOptions options;
+  private final Bootstrap bootstrap;
+  private final EventLoop loop;
+  private final Backoff backoff;
+  private volatile ChannelLink link;
+  private volatile boolean closed;
+  private long connectedAtNanos;
+
+  private LinkClient(Builder builder) {
+    options = builder.options;
+    backoff =
+        new Backoff(builder.minBackoff.toMillis(), builder.maxBackoff.toMillis(), builder.random);
+    loop = options.runtime.group().next();
+    bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.ALLOCATOR, options.runtime.allocator())
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) builder.connectTimeout.toMillis())
+            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, LinkServer.WATER_MARK)
+            .handler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    link = LinkHandler.install(channel, options);
+                  }
+                });
+  }
+
+  /**
+   * Returns a builder.
+   *
+   * @param runtime the I/O threads
+   * @param listener receives the events of each connection that the client makes
+   * @return the builder
+   */
+  public static Builder builder(LinkRuntime runtime, LinkListener listener) {
+    return new Builder(new LinkOptions(runtime, listener));
+  }
+
+  /**
+   * Returns the connection.
+   *
+   * @return the connection, or empty if there is none now
+   */
+  public Optional<Link> current() {
+    ChannelLink l = link;
+    return l != null && l.isOpen() ? Optional.of(l) : Optional.empty();
+  }
+
+  /** Closes the connection and makes no new one. */
+  @Override
+  public void close() {
+    closed = true;
+    ChannelLink l = link;
+    if (l != null) {
+      l.close("client closed");
+    }
+  }
+
+  private void connect() {
+    if (closed) {
+      return;
+    }
+    ChannelFuture connected = bootstrap.connect(options.address());
+    connected.addListener(f -> connected(connected));
+  }
+
+  private void connected(ChannelFuture connected) {
+    if (!connected.isSuccess()) {
+      logger.atInfo().atMostEvery(LOG_PERIOD_SECONDS, TimeUnit.SECONDS).log(
+          "cannot connect to %s: %s", options.address(), connected.cause().getMessage());
+      connectLater();
+      return;
+    }
+    connectedAtNanos = System.nanoTime();
+    connected.channel().closeFuture().addListener(f -> lost());
+    if (closed) {
+      connected.channel().close();
+    }
+  }
+
+  // A connection that is lost at once counts as a failed attempt, so that an address that accepts
+  // and closes does not cause attempts without delay.
+  private void lost() {
+    long openMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - connectedAtNanos);
+    if (openMs >= options.silenceLimitMs()) {
+      backoff.reset();
+    }
+    connectLater();
+  }
+
+  private void connectLater() {
+    if (closed) {
+      return;
+    }
+    try {
+      loop.schedule(this::connect, backoff.nextMs(), TimeUnit.MILLISECONDS);
+    } catch (RejectedExecutionException e) {
+      logger.atFine().log("I/O threads are stopped; no new connection to %s", options.address());
+    }
+  }
+
+  /**
+   * Builds a client. Heartbeats go out each second, the silence limit is 3 s, the connect timeout
+   * 500 ms and the backoff 50 ms to 1 s by default.
+   */
+  public static final class Builder {
+    private final LinkOptions options;
+    private Duration connectTimeout = Duration.ofMillis(500);
+    private Duration minBackoff = Duration.ofMillis(50);
+    private Duration maxBackoff = Duration.ofSeconds(1);
+    private RandomGenerator random = RandomGenerator.getDefault();
+
+    private Builder(LinkOptions options) {
+      this.options = options;
+    }
+
+    /**
+     * Sets the address to connect to, which is required.
+     *
+     * @param address IP address and port
+     * @return this builder
+     */
+    public Builder address(InetSocketAddress address) {
+      options.address(address);
+      return this;
+    }
+
+    /**
+     * Sets how long a connection may be without a frame to send before a heartbeat is sent.
+     *
+     * @param period at least 1 ms
+     * @return this builder
+     */
+    public Builder heartbeat(Duration period) {
+      options.heartbeat(period);
+      return this;
+    }
+
+    /**
+     * Sets how long a connection may be without a received frame before it is closed.
+     *
+     * @param limit at least twice the heartbeat period
+     * @return this builder
+     */
+    public Builder silenceLimit(Duration limit) {
+      options.silenceLimit(limit);
+      return this;
+    }
+
+    /**
+     * Sets how long an attempt to connect may take.
+     *
+     * @param timeout at least 1 ms
+     * @return this builder
+     */
+    public Builder connectTimeout(Duration timeout) {
+      connectTimeout = LinkOptions.requirePositive(timeout, "connectTimeout");
+      return this;
+    }
+
+    /**
+     * Sets the delays between attempts to connect.
+     *
+     * @param min first delay, before jitter
+     * @param max longest delay
+     * @return this builder
+     */
+    public Builder backoff(Duration min, Duration max) {
+      minBackoff = LinkOptions.requirePositive(min, "min");
+      maxBackoff = LinkOptions.requirePositive(max, "max");
+      return this;
+    }
+
+    /**
+     * Sets the source of the jitter.
+     *
+     * @param random used on one I/O thread only
+     * @return this builder
+     */
+    public Builder random(RandomGenerator random) {
+      this.random = random;
+      return this;
+    }
+
+    /**
+     * Starts to connect and returns without waiting for the connection.
+     *
+     * @return the client
+     */
+    public LinkClient start() {
+      options.check();
+      LinkClient client = new LinkClient(this);
+      client.loop.execute(client::connect);
+      return client;
+    }
+  }
+}
--- /dev/null
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/link/LinkHandler.java
@@ -0,0 +1,102 @@
+package io.kumquatspindle.transport.link;
+
+import com.google.common.flogger.FluentLogger;
+import io.kumquatspindle.api.message.Envelope;
+import io.kumquatspindle.api.message.LinkMessage;
+import io.kumquatspindle.transport.codec.MessageCodec;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.util.concurrent.TimeUnit;
+
+/** Turns the frames and timeouts of one channel into events of its listener. */
+final class LinkHandler extends SimpleChannelInboundHandler<ByteBuf> {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final ChannelLink link;
+  private final LinkOptions options;
+  private boolean opened;
+
+  private LinkHandler(ChannelLink link, LinkOptions options) {
+    this.link = link;
+    this.options = options;
+  }
+
+  /** Adds the handlers of a link to a new channel. */
+  static ChannelLink install(Channel channel, LinkOptions options) {
+    ChannelLink link = new ChannelLink(channel);
+    int maxFrame = ChannelLink.LENGTH_BYTES + ChannelLink.MAX_ENVELOPE_BYTES;
+    int length = ChannelLink.LENGTH_BYTES;
+    channel
+        .pipeline()
+        .addLast(new LengthFieldBasedFrameDecoder(maxFrame, 0, length, 0, length))
+        // After the decoder, so that only whole frames count as a sign of life.
+        .addLast(
+            new IdleStateHandler(
+                options.silenceLimitMs(), options.heartbeatMs(), 0, TimeUnit.MILLISECONDS))
+        .addLast(new LinkHandler(link, options));
+    return link;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext ctx) {
+    opened = true;
+    guard(() -> options.listener.opened(link));
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) throws Exception {
+    if (!link.isOpen()) {
+      // Closing a channel delivers the frames that were already read.
+      return;
+    }
+    Envelope envelope = MessageCodec.decode(ByteBufUtil.getBytes(frame));
+    if (envelope.body() instanceof LinkMessage.Heartbeat) {
+      return;
+    }
+    if (envelope.replyTo() != 0) {
+      link.received(envelope);
+    } else {
+      guard(() -> options.listener.received(link, envelope));
+    }
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+    if (!(event instanceof IdleStateEvent)) {
+      ctx.fireUserEventTriggered(event);
+    } else if (((IdleStateEvent) event).state() == IdleState.READER_IDLE) {
+      link.close("no frame for " + options.silenceLimitMs() + " ms");
+    } else {
+      link.send(new LinkMessage.Heartbeat());
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    String reason = link.closed();
+    if (opened) {
+      guard(() -> options.listener.closed(link, reason));
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    link.close(String.valueOf(cause.getMessage()));
+  }
+
+  // A fault of the listener must not be taken for a fault of the connection.
+  private void guard(Runnable event) {
+    try {
+      event.run();
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("link listener failed for %s", link);
+    }
+  }
+}
--- /dev/null
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/link/LinkRuntime.java
@@ -0,0 +1,63 @@
+package io.kumquatspindle.transport.link;
+
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.concurrent.TimeUnit;
+
+/** The I/O threads and buffers that all servers and clients of a process share. */
+public final class LinkRuntime implements AutoCloseable {
+  private static final int MAX_THREADS = 2;
+  private static final int PAGE_BYTES = 8192;
+
+  // Chunks of 256 KiB instead of the default 4 MiB, in one arena, and only small buffers cached by
+  // the I/O threads. Larger buffers are allocated one by one and freed after use, so that an idle
+  // process with a 64 MB heap keeps little direct memory.
+  private static final int CHUNK_ORDER = 5;
+  private static final int SMALL_CACHE_SIZE = 64;
+  private static final int NORMAL_CACHE_SIZE = 0;
+
+  private static final long SHUTDOWN_LIMIT_MS = 2000;
+
+  private final EventLoopGroup group;
+  private final ByteBufAllocator allocator;
+
+  private LinkRuntime(int threads, String threadName) {
+    group = new NioEventLoopGroup(threads, new DefaultThreadFactory(threadName, true));
+    allocator =
+        new PooledByteBufAllocator(
+            true, 0, 1, PAGE_BYTES, CHUNK_ORDER, SMALL_CACHE_SIZE, NORMAL_CACHE_SIZE, false);
+  }
+
+  /**
+   * Starts a runtime.
+   *
+   * @param threads number of I/O threads, 1 or 2
+   * @param threadName prefix of the threads' names
+   * @return the runtime
+   */
+  public static LinkRuntime start(int threads, String threadName) {
+    if (threads < 1 || threads > MAX_THREADS) {
+      throw new IllegalArgumentException("threads must be 1 or 2 but was " + threads);
+    }
+    return new LinkRuntime(threads, threadName);
+  }
+
+  EventLoopGroup group() {
+    return group;
+  }
+
+  ByteBufAllocator allocator() {
+    return allocator;
+  }
+
+  /** Closes all connections and stops the threads; waits for them for at most 2 s. */
+  @Override
+  public void close() {
+    group
+        .shutdownGracefully(0, SHUTDOWN_LIMIT_MS, TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly(SHUTDOWN_LIMIT_MS);
+  }
+}
