--- /dev/null
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** The metrics page. */
+package io.kumquatspindle.api.metrics;
