--- a/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/link/ChannelLink.java
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/link/ChannelLink.java
@@ -6,6 +6,7 @@
 import io.kumquatspindle.transport.codec.MessageCodec;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -61,7 +62,7 @@
   @Override
   public void close(String reason) {
     closeReason.compareAndSet(null, reason);
-    channel.close();
+    ChannelFuture unused = channel.close();
   }
 
   @Override
@@ -95,7 +96,7 @@
     }
     ByteBuf frame = channel.alloc().buffer(LENGTH_BYTES + bytes.length);
     frame.writeInt(bytes.length).writeBytes(bytes);
-    channel.writeAndFlush(frame, channel.voidPromise());
+    ChannelFuture unused = channel.writeAndFlush(frame, channel.voidPromise());
     return true;
   }
 }
--- a/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/link/LinkClient.java
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/link/LinkClient.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -99,7 +100,7 @@
     connectedAtNanos = System.nanoTime();
     connected.channel().closeFuture().addListener(f -> lost());
     if (closed) {
-      connected.channel().close();
+      ChannelFuture unused = connected.channel().close();
     }
   }
 
@@ -118,7 +119,7 @@
       return;
     }
     try {
-      loop.schedule(this::connect, backoff.nextMs(), TimeUnit.MILLISECONDS);
+      Future<?> unused = loop.schedule(this::connect, backoff.nextMs(), TimeUnit.MILLISECONDS);
     } catch (RejectedExecutionException e) {
       logger.atFine().log("I/O threads are stopped; no new connection to %s", options.address());
     }
--- a/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/link/LinkHandler.java
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/link/LinkHandler.java
@@ -69,9 +69,9 @@
 
   @Override
   public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-    if (!(event instanceof IdleStateEvent)) {
+    if (!(event instanceof IdleStateEvent idle)) {
       ctx.fireUserEventTriggered(event);
-    } else if (((IdleStateEvent) event).state() == IdleState.READER_IDLE) {
+    } else if (idle.state() == IdleState.READER_IDLE) {
       link.close("no frame for " + options.silenceLimitMs() + " ms");
     } else {
       link.send(new LinkMessage.Heartbeat());
--- a/kumquatspindle-transport/src/test/java/io/kumquatspindle/transport/link/LinkTests.java
+++ b/kumquatspindle-transport/src/test/java/io/kumquatspindle/transport/link/LinkTests.java
@@ -125,7 +125,7 @@
         assertEquals(LinkException.Kind.TIMED_OUT, kind(late));
         Envelope first = unanswered;
         CompletableFuture<Message> open = l.ask(new Freshness(1, 9), LONG);
-        await().until(() -> unanswered != first);
+        await().until(() -> !unanswered.equals(first));
         Link serverLink = serverEvents.open.get(0);
         serverLink.reply(first, new Freshness(77, 0));
         // The reply to this ask follows the late one, so the late one has been handled by then.
