--- /dev/null
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/config/FieldCheck.java
@@ -0,0 +1,58 @@
+package io.kumquatspindle.engine.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.lang.reflect.ParameterizedType;
+import java.lang.reflect.RecordComponent;
+import java.lang.reflect.Type;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Finds unknown fields and nulls in JSON that is meant for a record type. Jackson stops at the
+ * first unknown field, and takes an explicit null for an absent field, which is seldom what was
+ * meant.
+ */
+final class FieldCheck {
+  private final List<String> faults = new ArrayList<>();
+
+  /** Returns one sentence for each unknown field and null, with its JSON path. */
+  static List<String> faults(JsonNode node, Class<? extends Record> type) {
+    FieldCheck check = new FieldCheck();
+    check.visit(node, type, "$");
+    return check.faults;
+  }
+
+  private void visit(JsonNode node, Type type, String path) {
+    if (node.isNull() || node.isMissingNode()) {
+      faults.add(path + ": null is not allowed");
+    } else if (type instanceof ParameterizedType p) {
+      visitElements(node, p, path);
+    } else if (node.isObject() && type instanceof Class<?> c && c.isRecord()) {
+      node.properties().forEach(e -> visitField(e.getValue(), c, e.getKey(), path));
+    }
+  }
+
+  private void visitField(JsonNode node, Class<?> type, String name, String path) {
+    Optional<RecordComponent> component =
+        Arrays.stream(type.getRecordComponents()).filter(c -> c.getName().equals(name)).findFirst();
+    if (component.isPresent()) {
+      visit(node, component.get().getGenericType(), path + "." + name);
+    } else {
+      faults.add(path + "." + name + ": no such field");
+    }
+  }
+
+  // The generic types of a ticket are lists, sets and optional values.
+  private void visitElements(JsonNode node, ParameterizedType type, String path) {
+    Type element = type.getActualTypeArguments()[0];
+    if (type.getRawType() == Optional.class) {
+      visit(node, element, path);
+      return;
+    }
+    for (int i = 0; node.isArray() && i < node.size(); i++) {
+      visit(node.get(i), element, path + "[" + i + "]");
+    }
+  }
+}
--- /dev/null
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/config/ConfigurationFoldTests.java
@@ -0,0 +1,180 @@
+package io.kumquatspindle.engine.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertSame;
+
+import io.kumquatspindle.api.config.Configuration;
+import io.kumquatspindle.api.json.Json;
+import io.kumquatspindle.api.platform.LogRecord;
+import io.kumquatspindle.api.platform.StreamName;
+import io.kumquatspindle.api.record.SnapshotChunk;
+import io.kumquatspindle.engine.config.ConfigurationFold.Step;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("ConfigurationFold")
+class ConfigurationFoldTests {
+
+  @Test
+  @DisplayName("accepts the first of two tickets that race on a number")
+  void race() {
+    List<LogRecord> log =
+        List.of(
+            Tickets.record(0, Tickets.BASE),
+            Tickets.record(1, customer(2, "bo", "f2", 10)),
+            Tickets.record(2, customer(2, "cy", "f3", 99)),
+            Tickets.record(3, customer(3, "cy", "f4", 99)));
+    Step loser = run(ConfigurationFold.initial(), log.subList(0, 2)).apply(log.get(2));
+    assertEquals(
+        "number 2 was taken by an earlier ticket",
+        assertInstanceOf(Step.Ignored.class, loser).reason());
+    assertEquals(3, run(ConfigurationFold.initial(), log).configuration().number());
+  }
+
+  // A lost answer makes the operator's command append the same filing again.
+  @Test
+  @DisplayName("skips a second append of the same filing")
+  void duplicateAppend() {
+    ConfigurationFold once =
+        run(ConfigurationFold.initial(), List.of(Tickets.record(0, Tickets.BASE)));
+    Step again = once.apply(Tickets.record(1, Tickets.BASE));
+    assertSame(
+        once.configuration(), assertInstanceOf(Step.Ignored.class, again).fold().configuration());
+  }
+
+  @Test
+  @DisplayName("applies nothing after a gap")
+  void gap() {
+    assertEquals(
+        new Step.Gap(0), ConfigurationFold.initial().apply(Tickets.record(1, Tickets.BASE)));
+  }
+
+  @Test
+  @DisplayName("skips records that are not tickets")
+  void junk() {
+    Step s = ConfigurationFold.initial().apply(Tickets.record(0, "[null"));
+    assertEquals(1, assertInstanceOf(Step.Ignored.class, s).fold().nextOffset());
+  }
+
+  @Property(tries = 300)
+  void sameWhenResumedFromSnapshotAnywhere(@ForAll("logs") List<LogRecord> log) {
+    ConfigurationFold whole = run(ConfigurationFold.initial(), log);
+    for (int i = 0; i <= log.size(); i++) {
+      ConfigurationFold part = throughSnapshot(run(ConfigurationFold.initial(), log.subList(0, i)));
+      assertSameState(whole, run(part, log.subList(i, log.size())));
+    }
+  }
+
+  @Property(tries = 300)
+  void sameWhenDeliveredWithRepeats(
+      @ForAll("logs") List<LogRecord> log, @ForAll List<Integer> repeats) {
+    List<LogRecord> delivered = new ArrayList<>();
+    for (int i = 0; i < log.size(); i++) {
+      delivered.add(log.get(i));
+      if (i < repeats.size()) {
+        delivered.add(log.get(Math.floorMod(repeats.get(i), i + 1)));
+      }
+    }
+    assertSameState(
+        run(ConfigurationFold.initial(), log), run(ConfigurationFold.initial(), delivered));
+  }
+
+  @Property(tries = 300)
+  void numberHasOneContentForGood(@ForAll("logs") List<LogRecord> log) {
+    Map<Long, Configuration> byNumber = new HashMap<>();
+    ConfigurationFold fold = ConfigurationFold.initial();
+    for (LogRecord r : log) {
+      long before = fold.configuration().number();
+      fold = run(fold, List.of(r));
+      long number = fold.configuration().number();
+      assertEquals(true, number == before || number == before + 1);
+      Configuration first = byNumber.putIfAbsent(number, fold.configuration());
+      assertEquals(first == null ? fold.configuration() : first, fold.configuration());
+    }
+  }
+
+  @Property(tries = 300)
+  void lowerOffsetChangesNothing(
+      @ForAll("logs") List<LogRecord> log, @ForAll("records") String other) {
+    ConfigurationFold fold = run(ConfigurationFold.initial(), log);
+    for (int i = 0; i < log.size(); i++) {
+      Step s = fold.apply(Tickets.record(i, other));
+      assertSame(fold, assertInstanceOf(Step.Ignored.class, s).fold());
+    }
+  }
+
+  @Provide
+  Arbitrary<String> records() {
+    Arbitrary<String> ticket =
+        Combinators.combine(
+                Arbitraries.integers().between(0, 6),
+                Arbitraries.of("ann", "bo"),
+                Arbitraries.of("f1", "f2", "f3"),
+                Arbitraries.integers().between(0, 3))
+            .as(ConfigurationFoldTests::customer);
+    return Arbitraries.frequencyOf(
+        Tuple.of(8, ticket),
+        Tuple.of(1, Arbitraries.of("", "null", "[]", "{\"models\":[null]}", "{x")));
+  }
+
+  @Provide
+  Arbitrary<List<LogRecord>> logs() {
+    return records()
+        .list()
+        .ofMaxSize(25)
+        .map(
+            texts -> {
+              List<LogRecord> log = new ArrayList<>();
+              texts.forEach(t -> log.add(Tickets.record(log.size(), t)));
+              return log;
+            });
+  }
+
+  private static String customer(long number, String author, String filing, long rate) {
+    return """
+        {"number":%d,"author":"%s","filing":"%s",
+         "customers":[{"name":"x%d","tokensPerSecond":%d,"burstTokens":5}]}"""
+        .formatted(number, author, filing, rate, rate);
+  }
+
+  private static ConfigurationFold throughSnapshot(ConfigurationFold fold) {
+    List<SnapshotChunk> chunks =
+        Snapshots.split(StreamName.TICKETS, fold.nextOffset(), "id", fold.configuration());
+    SnapshotCollector collector = new SnapshotCollector();
+    chunks.forEach(c -> collector.accept(new LogRecord(0, 0, Json.encode(c))));
+    Snapshot s = collector.newest(StreamName.TICKETS).orElseThrow();
+    return ConfigurationFold.of(s.offset(), s.decode(Configuration.class).orElseThrow());
+  }
+
+  private static ConfigurationFold run(ConfigurationFold fold, List<LogRecord> log) {
+    ConfigurationFold f = fold;
+    for (LogRecord r : log) {
+      f =
+          f.apply(r)
+              .fold(
+                  Step.Accepted::fold,
+                  Step.Ignored::fold,
+                  g -> {
+                    throw new AssertionError("gap at " + g.expectedOffset());
+                  });
+    }
+    return f;
+  }
+
+  private static void assertSameState(ConfigurationFold expected, ConfigurationFold actual) {
+    assertEquals(expected.configuration(), actual.configuration());
+    assertEquals(expected.nextOffset(), actual.nextOffset());
+  }
+}
