--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/config/ConfigurationController.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/config/ConfigurationController.java
@@ -36,7 +36,7 @@
     this.duty =
         Duty.<ConfigurationEvent>builder("configuration", this::handle)
             .capacity(RING_CAPACITY)
-            .build();
+            .start();
   }
 
   /**
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/log/LogAppender.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/log/LogAppender.java
@@ -23,7 +23,7 @@
         Duty.<Request>builder(
                 "append-" + stream.path(), r -> r.done().accept(log.append(stream, r.value())))
             .capacity(RING_CAPACITY)
-            .build();
+            .start();
   }
 
   /**
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/placement/PlacementController.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/placement/PlacementController.java
@@ -55,7 +55,7 @@
     this.handler = new StreamEventHandler(new StreamFeed(fold));
     this.outlooks = new Outlooks(clock);
     this.duty =
-        Duty.<PlacementEvent>builder("placement", this::handle).capacity(RING_CAPACITY).build();
+        Duty.<PlacementEvent>builder("placement", this::handle).capacity(RING_CAPACITY).start();
   }
 
   /**
