--- /dev/null
+++ b/kumquatspindle-transport/src/test/java/io/kumquatspindle/transport/platform/HttpLogServiceTests.java
@@ -0,0 +1,145 @@
+package io.kumquatspindle.transport.platform;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import io.kumquatspindle.api.platform.AppendResult;
+import io.kumquatspindle.api.platform.ReadResult;
+import io.kumquatspindle.api.platform.StreamName;
+import java.time.Duration;
+import java.util.List;
+import mockwebserver3.RecordedRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("HttpLogService")
+class HttpLogServiceTests {
+  private static final byte[] RECORD = {'{', '}'};
+
+  private PlatformServer server;
+  private HttpLogService log;
+
+  @BeforeEach
+  void start() throws Exception {
+    server = new PlatformServer();
+    Duration limit = Duration.ofSeconds(1);
+    log = HttpLogService.builder(server.url()).appendTimeout(limit).readSlack(limit).build();
+  }
+
+  @AfterEach
+  void stop() {
+    server.close();
+  }
+
+  private AppendResult append() {
+    return log.append(StreamName.TICKETS, RECORD);
+  }
+
+  private ReadResult read(int waitMs) {
+    return log.read(StreamName.DECISIONS, 4, 100, Duration.ofMillis(waitMs));
+  }
+
+  @Nested
+  @DisplayName("when it appends")
+  class Append {
+
+    @Test
+    @DisplayName("posts the record's bytes and gives the offset")
+    void appends() throws Exception {
+      server.answer(200, "{\"offset\":17,\"more\":1}");
+      assertEquals(new AppendResult.Appended(17), append());
+      RecordedRequest r = server.take();
+      assertEquals("POST /log/tickets HTTP/1.1", r.getRequestLine());
+      assertArrayEquals(RECORD, r.getBody().toByteArray());
+    }
+
+    @Test
+    @DisplayName("is certain that nothing was appended after a 503, and asks once")
+    void refused() {
+      server.answer(503, "");
+      server.answer(200, "{\"offset\":1}");
+      assertInstanceOf(AppendResult.NotAppended.class, append());
+      assertEquals(1, server.requests());
+    }
+
+    @Test
+    @DisplayName("is certain that nothing was appended when the connection is refused")
+    void connectionRefused() {
+      server.close();
+      assertInstanceOf(AppendResult.NotAppended.class, append());
+    }
+
+    @Test
+    @DisplayName("does not know the outcome after a timeout, and uses a new connection afterwards")
+    void timesOut() throws Exception {
+      server.stall();
+      server.answer(200, "{\"offset\":2}");
+      assertInstanceOf(AppendResult.Unknown.class, append());
+      assertEquals(new AppendResult.Appended(2), append());
+      assertEquals(0, server.take().getConnectionIndex());
+      assertEquals(1, server.take().getConnectionIndex());
+    }
+
+    @Test
+    @DisplayName("does not know the outcome when a kept connection breaks, and does not send again")
+    void breaksOff() {
+      server.answer(200, "{\"offset\":1}");
+      append();
+      server.breakConnection();
+      server.answer(200, "{\"offset\":3}");
+      assertInstanceOf(AppendResult.Unknown.class, append());
+      assertEquals(2, server.requests());
+    }
+
+    @Test
+    @DisplayName("does not know the outcome after an unreadable answer or another status")
+    void unreadable() {
+      server.answer(500, "");
+      assertInstanceOf(AppendResult.Unknown.class, append());
+      for (String body : List.of("{\"offset\":", "{}")) {
+        server.answer(200, body);
+        assertInstanceOf(AppendResult.Unknown.class, append(), body);
+      }
+    }
+  }
+
+  @Nested
+  @DisplayName("when it reads")
+  class Read {
+    private static final String ONE_RECORD =
+        "{\"earliest\":2,\"end\":5,\"records\":"
+            + "[{\"offset\":4,\"time_ms\":1700,\"value\":\"e30=\"}]}";
+
+    @Test
+    @DisplayName("gives the records and the ends of the stream, after a long poll")
+    void reads() throws Exception {
+      server.answerLate(600, ONE_RECORD);
+      ReadResult.Batch b = assertInstanceOf(ReadResult.Batch.class, read(600));
+      assertEquals(List.of(2L, 5L), List.of(b.earliest(), b.end()));
+      assertEquals(4, b.records().get(0).offset());
+      assertEquals(1700, b.records().get(0).timeMs());
+      assertArrayEquals(RECORD, b.records().get(0).value());
+      String line = server.take().getRequestLine();
+      assertEquals("GET /log/decisions?from=4&max=100&wait_ms=600 HTTP/1.1", line);
+    }
+
+    @Test
+    @DisplayName("is unavailable after an outage, a timeout or an unreadable answer")
+    void unavailable() {
+      server.answer(503, ONE_RECORD);
+      assertInstanceOf(ReadResult.Unavailable.class, read(0));
+      for (String body : List.of("{\"earliest\":2,\"end\":5}", "null", "[")) {
+        server.answer(200, body);
+        assertInstanceOf(ReadResult.Unavailable.class, read(0), body);
+      }
+      server.stall();
+      assertInstanceOf(ReadResult.Unavailable.class, read(100));
+      server.close();
+      assertInstanceOf(ReadResult.Unavailable.class, read(0));
+    }
+  }
+}
