--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/log/OwnerFeed.java
@@ -0,0 +1,34 @@
+package io.kumquatspindle.control.log;
+
+import io.kumquatspindle.api.platform.ReadResult;
+import io.kumquatspindle.control.state.StreamEvent;
+import io.kumquatspindle.control.state.StreamOwner;
+
+/** Hands what a follower reads to the owner of the stream's fold. */
+public final class OwnerFeed implements StreamListener {
+  private final StreamOwner owner;
+
+  /**
+   * Creates a feed.
+   *
+   * @param owner the owner
+   */
+  public OwnerFeed(StreamOwner owner) {
+    this.owner = owner;
+  }
+
+  @Override
+  public boolean read(ReadResult.Batch batch, long askedAtMs) {
+    return owner.offer(new StreamEvent.LogRead(batch, askedAtMs));
+  }
+
+  @Override
+  public void unavailable(String reason) {
+    owner.offer(new StreamEvent.LogUnavailable(reason));
+  }
+
+  @Override
+  public long nextOffset() {
+    return owner.nextOffset();
+  }
+}
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/quota/TokenDesk.java
@@ -0,0 +1,35 @@
+package io.kumquatspindle.control.quota;
+
+import io.kumquatspindle.api.message.EntryMessage.TokenGrant;
+import io.kumquatspindle.api.message.EntryMessage.TokenRequest;
+import io.kumquatspindle.api.message.EntryMessage.TokenReturn;
+import io.kumquatspindle.api.message.PeerMessage.Transfer;
+import io.kumquatspindle.api.message.PeerMessage.TransferRequest;
+import java.util.function.Consumer;
+
+/** Gives tokens to entry programs and peers. No method blocks. */
+public interface TokenDesk {
+
+  /**
+   * Gives tokens to an entry program.
+   *
+   * @param request what it asks for
+   * @param reply takes the grant
+   */
+  void request(TokenRequest request, Consumer<TokenGrant> reply);
+
+  /**
+   * Takes tokens back from an entry program, or a debt.
+   *
+   * @param tokens what it gives back
+   */
+  void returned(TokenReturn tokens);
+
+  /**
+   * Gives tokens to a peer.
+   *
+   * @param request what it asks for
+   * @param reply takes the transfer
+   */
+  void transferRequested(TransferRequest request, Consumer<Transfer> reply);
+}
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/router/FleetGossip.java
@@ -0,0 +1,93 @@
+package io.kumquatspindle.control.router;
+
+import io.kumquatspindle.api.message.PeerMessage.AgedReport;
+import io.kumquatspindle.api.message.PeerMessage.Gossip;
+import io.kumquatspindle.api.message.PeerMessage.Member;
+import io.kumquatspindle.api.model.VmId;
+import io.kumquatspindle.control.config.ConfigurationController;
+import io.kumquatspindle.control.membership.GossipListener;
+import io.kumquatspindle.control.placement.PlacementController;
+import io.kumquatspindle.control.placement.ReportBoard;
+import io.kumquatspindle.control.state.StreamOwner;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** Fills gossip messages with this VM's offsets and reports, and hands on what peers say. */
+public final class FleetGossip implements GossipListener {
+  private final ConfigurationController configuration;
+  private final PlacementController placement;
+  private final StreamOwner shares;
+  private final ReportBoard reports;
+  private final StreamSync streams;
+  private final Runnable onMembersChanged;
+  private final Consumer<Set<VmId>> onVmsGone;
+
+  /**
+   * Creates the exchange.
+   *
+   * @param configuration the configuration controller
+   * @param placement the placement controller
+   * @param shares owner of the shares stream
+   * @param reports the reports of endpoints
+   * @param streams asks peers for records
+   * @param onMembersChanged called when the live members have changed
+   * @param onVmsGone takes VMs that the platform's list shows no longer
+   */
+  public FleetGossip(
+      ConfigurationController configuration,
+      PlacementController placement,
+      StreamOwner shares,
+      ReportBoard reports,
+      StreamSync streams,
+      Runnable onMembersChanged,
+      Consumer<Set<VmId>> onVmsGone) {
+    this.configuration = configuration;
+    this.placement = placement;
+    this.shares = shares;
+    this.reports = reports;
+    this.streams = streams;
+    this.onMembersChanged = onMembersChanged;
+    this.onVmsGone = onVmsGone;
+  }
+
+  @Override
+  public Gossip message(List<Member> members) {
+    return new Gossip(
+        configuration.nextOffset(),
+        configuration.confirmedAgoMs(),
+        members,
+        reports.takeForGossip(),
+        placement.nextOffset(),
+        shares.nextOffset());
+  }
+
+  @Override
+  public void received(String address, Gossip gossip, long receivedAtMs) {
+    for (AgedReport r : gossip.reports()) {
+      long takenAt = receivedAtMs - r.ageMs();
+      if (reports.put(r.report(), takenAt, ReportBoard.RELAYED_TRANSMISSIONS)) {
+        placement.reported(r.report(), takenAt);
+      }
+    }
+    streams.peerOffsets(address, gossip);
+  }
+
+  @Override
+  public void confirmed(Gossip gossip, long askedAtMs) {
+    configuration.peerConfirmed(gossip.ticketsOffset(), gossip.confirmedAgoMs(), askedAtMs);
+  }
+
+  @Override
+  public void listed(Set<VmId> listed, Set<VmId> gone) {
+    placement.vmsListed(listed);
+    if (!gone.isEmpty()) {
+      onVmsGone.accept(gone);
+    }
+  }
+
+  @Override
+  public void membersChanged() {
+    onMembersChanged.run();
+  }
+}
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/router/MessageRouter.java
@@ -0,0 +1,170 @@
+package io.kumquatspindle.control.router;
+
+import com.google.common.flogger.FluentLogger;
+import io.kumquatspindle.api.message.EntryMessage;
+import io.kumquatspindle.api.message.Envelope;
+import io.kumquatspindle.api.message.Message;
+import io.kumquatspindle.api.message.PeerMessage;
+import io.kumquatspindle.control.entry.EntrySessions;
+import io.kumquatspindle.control.intent.IntentController;
+import io.kumquatspindle.control.membership.MembershipController;
+import io.kumquatspindle.control.placement.PlacementController;
+import io.kumquatspindle.control.quota.TokenDesk;
+import io.kumquatspindle.transport.link.Link;
+import io.kumquatspindle.transport.link.LinkListener;
+
+/** Hands each message that arrives to the duty it is for. */
+public final class MessageRouter implements LinkListener {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final EntrySessions entries;
+  private final WantedRouter wanted;
+  private final PlacementController placement;
+  private final IntentController intents;
+  private final TokenDesk tokens;
+  private final MembershipController membership;
+  private final StreamSync streams;
+
+  private MessageRouter(Builder b) {
+    entries = b.entries;
+    wanted = b.wanted;
+    placement = b.placement;
+    intents = b.intents;
+    tokens = b.tokens;
+    membership = b.membership;
+    streams = b.streams;
+  }
+
+  /**
+   * Returns a builder; every part must be set.
+   *
+   * @return the builder
+   */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  @Override
+  public void opened(Link link) {}
+
+  @Override
+  public void closed(Link link, String reason) {
+    entries
+        .closed(link)
+        .ifPresent(h -> logger.atInfo().log("entry of %s disconnected: %s", h.vm(), reason));
+  }
+
+  @Override
+  public void received(Link link, Envelope envelope) {
+    Message m = envelope.body();
+    if (m instanceof EntryMessage e) {
+      fromEntry(link, envelope, e);
+    } else if (m instanceof PeerMessage p) {
+      fromPeer(link, envelope, p);
+    }
+  }
+
+  private void fromEntry(Link link, Envelope envelope, EntryMessage m) {
+    if (m instanceof EntryMessage.EntryHello h) {
+      entries.hello(link, h);
+    } else if (m instanceof EntryMessage.TokenRequest r) {
+      tokens.request(r, grant -> link.reply(envelope, grant));
+    } else if (m instanceof EntryMessage.TokenReturn r) {
+      tokens.returned(r);
+    } else if (m instanceof EntryMessage.ModelWanted w) {
+      modelWanted(link, envelope, w);
+    } else if (m instanceof EntryMessage.IntentRequest r) {
+      intents.request(r, reply -> link.reply(envelope, reply));
+    } else if (m instanceof EntryMessage.IntentOutcome o) {
+      intents.finished(o);
+    } else if (m instanceof EntryMessage.ModelUse u) {
+      entries.vm(link).ifPresent(vm -> placement.used(vm, u));
+    }
+  }
+
+  // Word from an entry program goes to the decider; word from a peer is decided here, so that it
+  // is not passed on in a circle while members differ in their views.
+  private void modelWanted(Link link, Envelope envelope, EntryMessage.ModelWanted w) {
+    if (entries.vm(link).isPresent()) {
+      wanted.wanted(w, outlook -> link.reply(envelope, outlook));
+    } else {
+      placement.wanted(w, outlook -> link.reply(envelope, outlook));
+    }
+  }
+
+  private void fromPeer(Link link, Envelope envelope, PeerMessage m) {
+    if (m instanceof PeerMessage.PeerHello h) {
+      if (h.protocol() != EntryMessage.EntryHello.PROTOCOL) {
+        link.close("protocol " + h.protocol() + " is not supported");
+      }
+    } else if (m instanceof PeerMessage.Gossip g) {
+      membership.received(g, reply -> link.reply(envelope, reply));
+    } else if (m instanceof PeerMessage.RecordsRequest r) {
+      streams.recordsRequested(r, reply -> link.reply(envelope, reply));
+    } else if (m instanceof PeerMessage.SnapshotRequest r) {
+      streams.snapshotRequested(r, reply -> link.reply(envelope, reply));
+    } else if (m instanceof PeerMessage.TransferRequest r) {
+      tokens.transferRequested(r, transfer -> link.reply(envelope, transfer));
+    }
+  }
+
+  /** Builds a {@link MessageRouter}. */
+  public static final class Builder {
+    private EntrySessions entries;
+    private WantedRouter wanted;
+    private PlacementController placement;
+    private IntentController intents;
+    private TokenDesk tokens;
+    private MembershipController membership;
+    private StreamSync streams;
+
+    private Builder() {}
+
+    /** Sets the connected entry programs. */
+    public Builder entries(EntrySessions value) {
+      entries = value;
+      return this;
+    }
+
+    /** Sets where word of wanted artifacts from entry programs goes. */
+    public Builder wanted(WantedRouter value) {
+      wanted = value;
+      return this;
+    }
+
+    /** Sets the placement controller. */
+    public Builder placement(PlacementController value) {
+      placement = value;
+      return this;
+    }
+
+    /** Sets the intent controller. */
+    public Builder intents(IntentController value) {
+      intents = value;
+      return this;
+    }
+
+    /** Sets who gives tokens. */
+    public Builder tokens(TokenDesk value) {
+      tokens = value;
+      return this;
+    }
+
+    /** Sets the membership controller. */
+    public Builder membership(MembershipController value) {
+      membership = value;
+      return this;
+    }
+
+    /** Sets the exchange of stream records. */
+    public Builder streams(StreamSync value) {
+      streams = value;
+      return this;
+    }
+
+    /** Returns the router. */
+    public MessageRouter build() {
+      return new MessageRouter(this);
+    }
+  }
+}
