--- a/kumquatspindle-api/src/main/java/io/kumquatspindle/api/record/DecisionRecord.java
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/record/DecisionRecord.java
@@ -5,12 +5,15 @@
 import io.kumquatspindle.api.model.ArtifactName;
 import io.kumquatspindle.api.model.EndpointName;
 import io.kumquatspindle.api.model.VmId;
+import java.util.List;
+import java.util.Optional;
 
 /** A record of the {@code decisions} stream. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
 @JsonSubTypes({
   @JsonSubTypes.Type(value = DecisionRecord.LoadDecided.class, name = "load_decided"),
   @JsonSubTypes.Type(value = DecisionRecord.LoadFinished.class, name = "load_finished"),
+  @JsonSubTypes.Type(value = DecisionRecord.LoadTakenOver.class, name = "load_taken_over"),
   @JsonSubTypes.Type(value = DecisionRecord.UnloadDecided.class, name = "unload_decided"),
   @JsonSubTypes.Type(value = DecisionRecord.UnloadFinished.class, name = "unload_finished"),
   @JsonSubTypes.Type(value = DecisionRecord.EndpointRestarted.class, name = "endpoint_restarted")
@@ -32,6 +35,8 @@
    * @param memoryMb accelerator memory to reserve, in MB
    * @param fromStore whether the checkpoint has to come from the weight store
    * @param vm the VM that decided and sends the order
+   * @param nonce identifier of this append, unique to the process that made it; a restarted process
+   *     must not send the order of its predecessor a second time
    * @param basis the limits under which the load was decided
    */
   record LoadDecided(
@@ -40,6 +45,7 @@
       long memoryMb,
       boolean fromStore,
       VmId vm,
+      String nonce,
       Basis basis)
       implements DecisionRecord {}
 
@@ -48,7 +54,7 @@
    * tickets and decisions streams have no common order.
    *
    * @param configurationNumber number of the ticket in force at the VM that decided
-   * @param adapter whether the artifact is an adapter
+   * @param model the model of an adapter, which has to be loaded on the endpoint; empty for a model
    * @param maxReplicas replica limit of the artifact
    * @param endpointMemoryMb accelerator memory of the endpoint, in MB
    * @param storeLoadsAtOnce loads from the weight store that may run at once
@@ -57,12 +63,29 @@
    */
   record Basis(
       long configurationNumber,
-      boolean adapter,
+      Optional<ArtifactName> model,
       int maxReplicas,
       long endpointMemoryMb,
       int storeLoadsAtOnce,
       double storeLoadsPerSecond,
-      int adapterLoadsAtOnce) {}
+      int adapterLoadsAtOnce) {
+
+    /** Replaces a missing model by an empty one. */
+    public Basis {
+      model = model == null ? Optional.empty() : model;
+    }
+  }
+
+  /**
+   * Another VM becomes the sender of a load whose sender is gone; accepted only while {@code from}
+   * is the sender, so that one VM at a time sends the order and records its outcome.
+   *
+   * @param decision offset of the {@code LoadDecided}
+   * @param from the sender that the platform's VM list no longer shows
+   * @param vm the new sender
+   * @param nonce identifier of this append, unique to the process that made it
+   */
+  record LoadTakenOver(long decision, VmId from, VmId vm, String nonce) implements DecisionRecord {}
 
   /**
    * The order of a load decision has an outcome and can no longer arrive.
@@ -90,12 +113,21 @@
   record UnloadFinished(long decision, VmId vm) implements DecisionRecord {}
 
   /**
-   * The endpoint's process was started anew and holds nothing; its reservations end.
+   * The endpoint no longer holds replicas that finished loading, usually because its process was
+   * started anew; the reservations of these replicas end. Loads that are pending are not affected,
+   * since their orders can still arrive at the new process.
    *
    * @param endpoint the endpoint
    * @param incarnation the incarnation that it reports
+   * @param lost offsets of the {@code LoadDecided} of the replicas that it no longer holds
    * @param vm the VM that saw it
    */
-  record EndpointRestarted(EndpointName endpoint, String incarnation, VmId vm)
-      implements DecisionRecord {}
+  record EndpointRestarted(EndpointName endpoint, String incarnation, List<Long> lost, VmId vm)
+      implements DecisionRecord {
+
+    /** Copies the list; a missing list is empty. */
+    public EndpointRestarted {
+      lost = lost == null ? List.of() : List.copyOf(lost);
+    }
+  }
 }
--- /dev/null
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Decides where models and adapters are loaded and unloaded. */
+package io.kumquatspindle.engine.placement;
