Check endpoint addresses only when a ticket changes endpoints

The fold validates every ticket of the log at start, so the reference checks no longer sort and parse the whole configuration each time. Faults are sorted instead, which keeps their order the same in all processes.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/config/Faults.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/config/Faults.java
@@ -11,6 +11,10 @@
     sentences.add(object + ": " + sentence);
   }
 
+  void addAll(List<String> others) {
+    sentences.addAll(others);
+  }
+
   /** Notes a fault if a number is out of range. */
   void range(String object, String field, long value, long min, long max) {
     if (value < min || value > max) {
@@ -26,10 +30,6 @@
     return value != null;
   }
 
-  boolean none() {
-    return sentences.isEmpty();
-  }
-
   /** Returns each sentence once, in the order found. */
   List<String> sentences() {
     return sentences.stream().distinct().toList();
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/config/ReferenceChecks.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/config/ReferenceChecks.java
@@ -14,9 +14,8 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.function.Function;
-import java.util.stream.Stream;
 
 /**
  * Checks references between the objects of a whole configuration. The configuration before the
@@ -26,29 +25,27 @@
   private final Configuration after;
   private final Ticket ticket;
   private final Removals gone;
-  private final Faults faults;
+  private final Faults faults = new Faults();
 
-  ReferenceChecks(Configuration after, Ticket ticket, Faults faults) {
+  ReferenceChecks(Configuration after, Ticket ticket) {
     this.after = after;
     this.ticket = ticket;
     this.gone = ticket.remove();
-    this.faults = faults;
   }
 
-  void check() {
-    byName(after.adapters().values(), AdapterSpec::name).forEach(this::adapter);
-    byName(after.customers().values(), CustomerSpec::name).forEach(this::customer);
-    byName(after.keys().values(), KeySpec::hash).forEach(this::key);
-    byName(after.endpoints().values(), EndpointSpec::name).forEach(this::failureDomain);
-    byName(after.services().values(), ServiceSpec::name).forEach(this::service);
-    byName(after.openRoutes().values(), OpenRoute::path).forEach(this::openRoute);
-    checkAddresses();
+  /** Returns the faults, sorted because the order of maps differs between processes. */
+  List<String> check() {
+    after.adapters().values().forEach(this::adapter);
+    after.customers().values().forEach(this::customer);
+    after.keys().values().forEach(this::key);
+    after.endpoints().values().forEach(this::failureDomain);
+    after.services().values().forEach(this::service);
+    after.openRoutes().values().forEach(this::openRoute);
+    if (!ticket.endpoints().isEmpty()) {
+      checkAddresses();
+    }
     checkFit();
-  }
-
-  // Map order differs between processes; the faults must not.
-  private static <T> Stream<T> byName(Collection<T> specs, Function<T, Object> name) {
-    return specs.stream().sorted(Comparator.comparing(s -> name.apply(s).toString()));
+    return faults.sentences().stream().sorted().toList();
   }
 
   private void adapter(AdapterSpec a) {
@@ -61,14 +58,14 @@
 
   private void customer(CustomerSpec c) {
     String object = "customer " + c.name();
-    byName(c.artifacts(), n -> n)
+    c.artifacts().stream()
         .filter(n -> !after.hasArtifact(n))
         .forEach(
             n -> {
               boolean removed = gone.models().contains(n) || gone.adapters().contains(n);
               faults.add(object, "artifacts names " + n + ", which " + lacking(removed));
             });
-    byName(c.services(), n -> n)
+    c.services()
         .forEach(n -> refer(object, "services", "service", n, after.services(), gone.services()));
   }
 
@@ -117,7 +114,8 @@
   // Two endpoints with one address would count the same accelerator memory twice.
   private void checkAddresses() {
     Map<String, EndpointName> owners = new HashMap<>();
-    byName(after.endpoints().values(), EndpointSpec::name)
+    after.endpoints().values().stream()
+        .sorted(Comparator.comparing(EndpointSpec::name))
         .filter(e -> e.url() != null && EndpointUrl.fault(e.url()).isEmpty())
         .forEach(
             e -> {
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/config/TicketValidator.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/config/TicketValidator.java
@@ -28,7 +28,7 @@
     if (named) {
       Configuration after = ConfigurationChange.apply(before, ticket);
       new RemovalChecks(before, ticket, faults).check();
-      new ReferenceChecks(after, ticket, faults).check();
+      faults.addAll(new ReferenceChecks(after, ticket).check());
     }
     return faults.sentences();
   }
