--- /dev/null
+++ b/kumquatspindle-cli/src/main/java/io/kumquatspindle/cli/CliException.java
@@ -0,0 +1,17 @@
+package io.kumquatspindle.cli;
+
+/** Ends a command with a message and an exit code. */
+final class CliException extends Exception {
+  private static final long serialVersionUID = 1L;
+
+  private final ExitStatus status;
+
+  CliException(ExitStatus status, String message) {
+    super(message);
+    this.status = status;
+  }
+
+  ExitStatus status() {
+    return status;
+  }
+}
