--- a/kumquatspindle-cli/src/main/java/io/kumquatspindle/cli/CliMain.java
+++ b/kumquatspindle-cli/src/main/java/io/kumquatspindle/cli/CliMain.java
@@ -1,5 +1,7 @@
 package io.kumquatspindle.cli;
 
+import io.kumquatspindle.transport.platform.HttpLogService;
+
 /** The operators' command {@code kumquatspindle}. */
 public final class CliMain {
 
@@ -11,8 +13,7 @@
    * @param args the command line
    */
   public static void main(String[] args) {
-    // To be replaced by a connector for the HTTP client of the transport module.
-    Environment environment = Environment.system(LogConnector.unavailable());
+    Environment environment = Environment.system(url -> HttpLogService.builder(url).build());
     System.exit(new CliProgram(environment).run(args).code());
   }
 }
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlProgram.java
@@ -0,0 +1,356 @@
+package io.kumquatspindle.control;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.kumquatspindle.api.config.Configuration;
+import io.kumquatspindle.api.config.EndpointSpec;
+import io.kumquatspindle.api.message.EntryMessage.EntryHello;
+import io.kumquatspindle.api.message.PeerMessage;
+import io.kumquatspindle.api.message.PeerMessage.Member;
+import io.kumquatspindle.api.model.VmId;
+import io.kumquatspindle.api.platform.EndpointReport;
+import io.kumquatspindle.api.platform.LogService;
+import io.kumquatspindle.api.platform.StreamName;
+import io.kumquatspindle.api.settings.IpAddress;
+import io.kumquatspindle.api.time.MonotonicClock;
+import io.kumquatspindle.api.time.SystemTimerService;
+import io.kumquatspindle.api.time.TimerService;
+import io.kumquatspindle.control.admin.AdminServer;
+import io.kumquatspindle.control.admin.StatePages;
+import io.kumquatspindle.control.config.ConfigurationController;
+import io.kumquatspindle.control.config.ConfigurationState;
+import io.kumquatspindle.control.entry.EntrySessions;
+import io.kumquatspindle.control.intent.IntentController;
+import io.kumquatspindle.control.log.LogAppender;
+import io.kumquatspindle.control.log.OwnerFeed;
+import io.kumquatspindle.control.log.StreamFollower;
+import io.kumquatspindle.control.log.StreamListener;
+import io.kumquatspindle.control.membership.MembershipController;
+import io.kumquatspindle.control.peer.PeerNetwork;
+import io.kumquatspindle.control.placement.EndpointPoller;
+import io.kumquatspindle.control.placement.OrderExecutor;
+import io.kumquatspindle.control.placement.PlacementController;
+import io.kumquatspindle.control.placement.PlacementFoldAdapter;
+import io.kumquatspindle.control.placement.PlatformActions;
+import io.kumquatspindle.control.placement.ReportBoard;
+import io.kumquatspindle.control.quota.QuotaDuty;
+import io.kumquatspindle.control.router.DeferredListener;
+import io.kumquatspindle.control.router.FleetGossip;
+import io.kumquatspindle.control.router.MessageRouter;
+import io.kumquatspindle.control.router.StreamSync;
+import io.kumquatspindle.control.router.WantedRouter;
+import io.kumquatspindle.control.snapshot.SnapshotService;
+import io.kumquatspindle.control.state.StreamOwner;
+import io.kumquatspindle.engine.config.SnapshotSchedule;
+import io.kumquatspindle.engine.membership.Membership;
+import io.kumquatspindle.engine.membership.RendezvousHash;
+import io.kumquatspindle.engine.placement.LoadSettings;
+import io.kumquatspindle.engine.request.IntentFold;
+import io.kumquatspindle.transport.link.LinkRuntime;
+import io.kumquatspindle.transport.link.LinkServer;
+import io.kumquatspindle.transport.platform.HttpEndpointOrders;
+import io.kumquatspindle.transport.platform.HttpEndpointReports;
+import io.kumquatspindle.transport.platform.HttpLogService;
+import io.kumquatspindle.transport.platform.HttpVmList;
+import io.kumquatspindle.transport.platform.HttpWeightStore;
+import java.io.IOException;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.UUID;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/** The running control program: its parts, joined. */
+final class ControlProgram {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private static final int IO_THREADS = 1;
+  private static final Duration HEARTBEAT = Duration.ofMillis(500);
+  private static final Duration SILENCE_LIMIT = Duration.ofSeconds(3);
+  private static final long LEAVE_LIMIT_MS = 500;
+
+  private final ControlSettings settings;
+  private final MonotonicClock clock = MonotonicClock.system();
+  private final TimerService timers = new SystemTimerService("timer");
+  private final Random random = new Random();
+  private final String incarnation = UUID.randomUUID().toString();
+  private final List<AutoCloseable> closeables = new ArrayList<>();
+  private final LinkRuntime runtime = LinkRuntime.start(IO_THREADS, "link");
+  private final DeferredListener listener = new DeferredListener();
+  private final ReportBoard reports = new ReportBoard(clock);
+  private final LogService log;
+  private final PeerNetwork peers;
+  private final ConfigurationController configuration;
+  private final OrderExecutor orders = new OrderExecutor();
+  private final PlacementController placement;
+  private final QuotaDuty quota;
+  private final IntentController intents;
+  private final MembershipController membership;
+  private final EntrySessions entries;
+  private final SnapshotService snapshots;
+  private final EndpointPoller poller;
+  private LinkServer server;
+
+  private ControlProgram(ControlSettings s) {
+    settings = s;
+    log = HttpLogService.builder(s.logUrl()).build();
+    peers = new PeerNetwork(runtime, hello(), listener, clock, timers);
+    configuration = new ConfigurationController(clock);
+    placement = newPlacement();
+    quota = new QuotaDuty(s.vm(), s.failureDomain(), incarnation, appender(StreamName.SHARES), peers, clock);
+    intents =
+        new IntentController(
+            s.vm(),
+            new IntentFold(s.idempotencyWindow().toMillis()),
+            appender(StreamName.INTENTS),
+            clock);
+    entries = new EntrySessions(configuration, placement::placement, reports, clock);
+    Map<StreamName, StreamOwner> owners = owners();
+    StreamSync streams = new StreamSync(owners, peers);
+    membership = newMembership(streams);
+    SnapshotSchedule schedule = new SnapshotSchedule(s.logRetention(), random.nextDouble());
+    snapshots =
+        new SnapshotService(
+            owners, appender(StreamName.SNAPSHOTS), schedule, InstantSource.system());
+    poller =
+        new EndpointPoller(
+            HttpEndpointReports.builder().timeout(Duration.ofSeconds(1)).build(),
+            this::polledHere,
+            this::reported,
+            clock);
+    listener.target(
+        MessageRouter.builder()
+            .entries(entries)
+            .wanted(new WantedRouter(s.vm(), membership, peers, placement))
+            .placement(placement)
+            .intents(intents)
+            .tokens(quota)
+            .membership(membership)
+            .streams(streams)
+            .build());
+  }
+
+  /**
+   * Starts the program.
+   *
+   * @param settings the settings
+   * @return the running program
+   * @throws IOException if an address cannot be bound
+   */
+  static ControlProgram start(ControlSettings settings) throws IOException {
+    ControlProgram p = new ControlProgram(settings);
+    p.run();
+    return p;
+  }
+
+  private void run() throws IOException {
+    configuration.subscribe(this::inForce);
+    follow(StreamName.SNAPSHOTS, snapshots);
+    follow(StreamName.TICKETS, new OwnerFeed(configuration));
+    follow(StreamName.DECISIONS, new OwnerFeed(placement));
+    follow(StreamName.SHARES, new OwnerFeed(quota));
+    follow(StreamName.INTENTS, intents);
+    server =
+        LinkServer.builder(runtime, listener)
+            .address(IpAddress.parse(settings.peerAddress()))
+            .heartbeat(HEARTBEAT)
+            .silenceLimit(SILENCE_LIMIT)
+            .start();
+    startTimers();
+    startPlatformReaders();
+    MetricRegistry metrics = metrics();
+    AdminServer admin =
+        new AdminServer(
+            IpAddress.parse(settings.adminAddress()),
+            new StatePages(configuration, placement, membership, clock),
+            () -> configuration.state().everConfirmed(),
+            metrics);
+    closeables.add(admin);
+    logger.atInfo().log(
+        "control of %s in %s started, peers at %s",
+        settings.vm(), settings.failureDomain(), settings.peerAddress());
+  }
+
+  private void follow(StreamName stream, StreamListener l) {
+    StreamFollower follower = new StreamFollower(log, stream, l, clock);
+    closeables.add(follower);
+    follower.start();
+  }
+
+  private LogAppender appender(StreamName stream) {
+    LogAppender a = new LogAppender(log, stream);
+    closeables.add(a);
+    return a;
+  }
+
+  private PlacementController newPlacement() {
+    PlacementFoldAdapter fold =
+        new PlacementFoldAdapter(
+            settings.vm(),
+            incarnation,
+            LoadSettings.DEFAULT.withIdleUnloadMs(settings.replicaIdleLimit().toMillis()),
+            random,
+            clock);
+    PlatformActions actions =
+        new PlatformActions(
+            appender(StreamName.DECISIONS),
+            HttpEndpointOrders.builder().loadTimeout(settings.orderTimeout()).build(),
+            orders,
+            () -> configuration.state().configuration(),
+            () -> timers.after(Duration.ZERO, this::sendPlacement));
+    return new PlacementController(fold, actions, clock);
+  }
+
+  private MembershipController newMembership(StreamSync streams) {
+    FleetGossip gossip =
+        new FleetGossip(
+            configuration,
+            placement,
+            quota,
+            reports,
+            streams,
+            this::membersChanged,
+            quota::vmsGone);
+    // Wall-clock time makes the incarnation higher than that of any earlier process on this VM.
+    Member self =
+        new Member(
+            settings.vm(),
+            settings.failureDomain(),
+            settings.peerAddress(),
+            System.currentTimeMillis(),
+            0,
+            PeerMessage.MemberState.ALIVE,
+            0);
+    return new MembershipController(
+        new Membership(self, random), peers, gossip, settings.seedAddresses(), clock);
+  }
+
+  private PeerMessage.PeerHello hello() {
+    return new PeerMessage.PeerHello(
+        settings.vm(),
+        settings.failureDomain(),
+        settings.peerAddress(),
+        incarnation,
+        EntryHello.PROTOCOL);
+  }
+
+  private Map<StreamName, StreamOwner> owners() {
+    Map<StreamName, StreamOwner> owners = new EnumMap<>(StreamName.class);
+    owners.put(StreamName.TICKETS, configuration);
+    owners.put(StreamName.DECISIONS, placement);
+    owners.put(StreamName.SHARES, quota);
+    return owners;
+  }
+
+  private void startTimers() {
+    timers.every(Duration.ofMillis(500), membership::ownDomainRound);
+    timers.every(Duration.ofSeconds(1), membership::otherDomainRound);
+    timers.every(Duration.ofMillis(100), placement::tick);
+    timers.every(Duration.ofMillis(100), quota::tick);
+    timers.every(Duration.ofMillis(100), intents::tick);
+    timers.every(Duration.ofSeconds(1), entries::sendFreshness);
+    timers.every(Duration.ofMillis(500), entries::sendLoads);
+    timers.every(Duration.ofSeconds(5), entries::sendPlacement);
+    timers.every(settings.reportPeriod(), poller::pollAll);
+  }
+
+  private void startPlatformReaders() {
+    HttpVmList list = HttpVmList.builder(settings.vmListUrl()).build();
+    HttpWeightStore store = HttpWeightStore.builder(settings.storeUrl()).build();
+    PlatformReader reader =
+        new PlatformReader(
+            () -> list.read().ifPresent(membership::listed),
+            () -> store.status().ifPresent(placement::storeRead));
+    closeables.add(reader);
+    reader.start();
+  }
+
+  private void sendPlacement() {
+    entries.sendPlacement();
+  }
+
+  private void inForce(ConfigurationState state) {
+    placement.inForce(state);
+    quota.inForce(state);
+    entries.configurationInForce(state);
+    membership.inForce(state.configuration().number());
+  }
+
+  private void membersChanged() {
+    quota.members(membership.view());
+  }
+
+  private void reported(EndpointReport report, long takenAtMs) {
+    if (reports.put(report, takenAtMs, ReportBoard.OWN_TRANSMISSIONS)) {
+      placement.reported(report, takenAtMs);
+    }
+  }
+
+  private Collection<EndpointSpec> polledHere() {
+    Configuration c = configuration.state().configuration();
+    List<VmId> live = membership.view().live(Optional.of(settings.failureDomain()));
+    return c.endpoints().values().stream()
+        .filter(e -> e.failureDomain().equals(settings.failureDomain()))
+        .filter(
+            e ->
+                RendezvousHash.owner(e.name().value(), live)
+                    .filter(settings.vm()::equals)
+                    .isPresent())
+        .toList();
+  }
+
+  private MetricRegistry metrics() {
+    MetricRegistry m = new MetricRegistry();
+    Runtime jvm = Runtime.getRuntime();
+    m.register(
+        "jvm_heap_used_bytes", (Gauge<Long>) () -> jvm.totalMemory() - jvm.freeMemory());
+    m.register("configuration_number", (Gauge<Long>) this::number);
+    m.register("configuration_confirmed_ago_ms", (Gauge<Long>) configuration::confirmedAgoMs);
+    m.register("entries_connected", (Gauge<Integer>) entries::size);
+    m.register("peer_connections", (Gauge<Integer>) peers::size);
+    m.register("orders_in_progress", (Gauge<Integer>) orders::inProgress);
+    m.register("decisions_offset", (Gauge<Long>) placement::nextOffset);
+    m.register("members", (Gauge<Integer>) () -> membership.view().members().size());
+    return m;
+  }
+
+  private long number() {
+    return configuration.state().configuration().number();
+  }
+
+  /** Gives back what this VM holds, tells peers, and ends all threads within the stop limit. */
+  void stop() {
+    CountDownLatch left = new CountDownLatch(2);
+    membership.leave(left::countDown);
+    quota.giveBack(left::countDown);
+    try {
+      left.await(settings.stopLimit().toMillis(), TimeUnit.MILLISECONDS);
+      TimeUnit.MILLISECONDS.sleep(LEAVE_LIMIT_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    server.close();
+    timers.close();
+    for (AutoCloseable c : closeables) {
+      closeQuietly(c);
+    }
+    peers.close();
+    runtime.close();
+  }
+
+  private static void closeQuietly(AutoCloseable c) {
+    try {
+      c.close();
+    } catch (Exception e) {
+      logger.atWarning().withCause(e).log("closing %s failed", c.getClass().getSimpleName());
+    }
+  }
+}
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/membership/MembershipController.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/membership/MembershipController.java
@@ -34,6 +34,7 @@
   private final MonotonicClock clock;
   private final Duty<MembershipEvent> duty;
   private volatile MembershipView view;
+  private volatile Member self;
 
   /**
    * Creates a controller and starts its thread.
@@ -55,6 +56,7 @@
     this.listener = listener;
     this.seeds = List.copyOf(seeds);
     this.clock = clock;
+    this.self = membership.self();
     this.view = new MembershipView(clock.nowMs(), membership.members(clock.nowMs()));
     this.duty =
         Duty.<MembershipEvent>builder("membership", this::handle).capacity(RING_CAPACITY).start();
@@ -69,6 +71,15 @@
     return view;
   }
 
+  /**
+   * Returns this VM.
+   *
+   * @return this VM, as last published
+   */
+  public Member self() {
+    return self;
+  }
+
   /** Exchanges gossip with a member of this VM's failure domain. */
   public void ownDomainRound() {
     duty.offer(new MembershipEvent.OwnDomainRound());
@@ -179,7 +190,7 @@
   }
 
   private void askSeed(String address) {
-    if (address.equals(membership.self().address())) {
+    if (address.equals(self.address())) {
       return;
     }
     long askedAt = clock.nowMs();
@@ -225,6 +236,7 @@
 
   private void publish(long now) {
     List<MemberView> before = view.members();
+    self = membership.self();
     view = new MembershipView(now, membership.members(now));
     if (!sameLiveMembers(before, view.members())) {
       listener.membersChanged();
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/router/MessageRouter.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/router/MessageRouter.java
@@ -64,17 +64,18 @@
     }
   }
 
+  // Answers to entry programs carry the id of the request themselves and are sent as messages.
   private void fromEntry(Link link, Envelope envelope, EntryMessage m) {
     if (m instanceof EntryMessage.EntryHello h) {
       entries.hello(link, h);
     } else if (m instanceof EntryMessage.TokenRequest r) {
-      tokens.request(r, grant -> link.reply(envelope, grant));
+      tokens.request(r, link::send);
     } else if (m instanceof EntryMessage.TokenReturn r) {
       tokens.returned(r);
     } else if (m instanceof EntryMessage.ModelWanted w) {
       modelWanted(link, envelope, w);
     } else if (m instanceof EntryMessage.IntentRequest r) {
-      intents.request(r, reply -> link.reply(envelope, reply));
+      intents.request(r, link::send);
     } else if (m instanceof EntryMessage.IntentOutcome o) {
       intents.finished(o);
     } else if (m instanceof EntryMessage.ModelUse u) {
@@ -86,7 +87,7 @@
   // is not passed on in a circle while members differ in their views.
   private void modelWanted(Link link, Envelope envelope, EntryMessage.ModelWanted w) {
     if (entries.vm(link).isPresent()) {
-      wanted.wanted(w, outlook -> link.reply(envelope, outlook));
+      wanted.wanted(w, link::send);
     } else {
       placement.wanted(w, outlook -> link.reply(envelope, outlook));
     }
