--- /dev/null
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/request/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions about single requests: waiting, retries and idempotency. */
+package io.kumquatspindle.engine.request;
