--- a/kumquatspindle-api/src/main/java/io/kumquatspindle/api/error/ErrorKind.java
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/error/ErrorKind.java
@@ -54,6 +54,8 @@
   ENDPOINT_REFUSED(503, "endpoint_refused", NOT_RUN, true),
   /** The answer broke off or belongs to another request. */
   ANSWER_INCOMPLETE(502, "answer_incomplete", UNKNOWN, false),
+  /** The same idempotency key was used before and the call did not run. */
+  DUPLICATE_NOT_RUN(409, "duplicate_request", NOT_RUN, false),
   /** The same idempotency key was used before and the call ran. */
   DUPLICATE_RAN(409, "duplicate_request", RAN, false),
   /** The same idempotency key was used before; whether the call ran is not known. */
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/request/FairQueue.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/request/FairQueue.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 
 /**
  * A bounded queue of waiting requests: by deadline within a customer, by deficit round robin
@@ -158,6 +159,15 @@
         .min(Comparator.comparingLong(Waiting::deadlineMs));
   }
 
+  /**
+   * Visits the requests that {@link #poll} may still return, in no particular order.
+   *
+   * @param visitor called for each request; must not change the queue
+   */
+  public void forEach(Consumer<T> visitor) {
+    byItem.keySet().forEach(visitor);
+  }
+
   /**
    * Returns the number of waiting requests.
    *
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntryProgram.java
@@ -0,0 +1,183 @@
+package io.kumquatspindle.entry;
+
+import com.google.common.flogger.FluentLogger;
+import io.kumquatspindle.api.message.EntryMessage.EntryHello;
+import io.kumquatspindle.api.time.MonotonicClock;
+import io.kumquatspindle.api.time.SystemTimerService;
+import io.kumquatspindle.api.time.TimerService;
+import io.kumquatspindle.engine.routing.LeastLoadedChooser;
+import io.kumquatspindle.entry.control.ControlSession;
+import io.kumquatspindle.entry.control.ReplicaUses;
+import io.kumquatspindle.entry.control.TokenAccounts;
+import io.kumquatspindle.entry.control.Views;
+import io.kumquatspindle.entry.dispatch.DispatchFilter;
+import io.kumquatspindle.entry.dispatch.EndpointPicker;
+import io.kumquatspindle.entry.dispatch.RunningAttempts;
+import io.kumquatspindle.entry.dispatch.UpstreamClient;
+import io.kumquatspindle.entry.http.AdminServer;
+import io.kumquatspindle.entry.http.CallerServer;
+import io.kumquatspindle.entry.observe.EntryMetrics;
+import io.kumquatspindle.entry.observe.Traces;
+import io.kumquatspindle.entry.request.ModelWaitRoom;
+import io.kumquatspindle.entry.request.RequestEnvironment;
+import io.kumquatspindle.entry.request.RequestHandler;
+import java.time.Duration;
+import java.util.UUID;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+/** The running entry program. */
+public final class EntryProgram {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int WORKERS = 4;
+  private static final Duration USE_PERIOD = Duration.ofSeconds(1);
+  private static final Duration ABORT_LIMIT = Duration.ofSeconds(1);
+  private static final long POLL_MS = 20;
+
+  private final EntrySettings settings;
+  private final MonotonicClock clock = MonotonicClock.system();
+  private final TimerService timers = new SystemTimerService("entry-timers");
+  private final ExecutorService workers =
+      Executors.newFixedThreadPool(WORKERS, r -> new Thread(r, "entry-worker"));
+  private final Views views = Views.empty();
+  private final EntryMetrics metrics = new EntryMetrics();
+  private final ReplicaUses uses = new ReplicaUses();
+  private final UpstreamClient client = new UpstreamClient();
+  private final ControlSession session;
+  private final TokenAccounts accounts;
+  private final RunningAttempts running;
+  private final Traces traces;
+  private final RequestHandler handler;
+  private final CallerServer callerServer;
+  private final AdminServer adminServer;
+  private volatile boolean stopping;
+
+  private EntryProgram(EntrySettings settings) {
+    this.settings = settings;
+    String incarnation = UUID.randomUUID().toString();
+    EntryHello hello = new EntryHello(settings.vm(), incarnation, EntryHello.PROTOCOL);
+    session = new ControlSession(hello, views, clock);
+    accounts = new TokenAccounts(session);
+    running = new RunningAttempts(views.configuration(), clock);
+    traces = traces(settings.trace());
+    RequestEnvironment env = new RequestEnvironment(clock, timers, workers, traces, metrics);
+    ModelWaitRoom room =
+        new ModelWaitRoom(settings.limits().waitingRequests(), views, session, env);
+    session.onOutlook(room::outlook);
+    EndpointPicker picker =
+        new EndpointPicker(views, settings.failureDomain(), new LeastLoadedChooser(), clock);
+    DispatchFilter dispatch = new DispatchFilter(views, picker, client, running, uses, room, env);
+    handler =
+        RequestHandler.create(settings.limits(), views, session, accounts, room, dispatch, env);
+    metrics.gauge("requests_waiting", room::size);
+    metrics.gauge("requests_in_flight", handler::inFlight);
+    subscribe(room);
+    int bodyBytes = settings.limits().bodyBytes();
+    callerServer = CallerServer.start(settings.callers(), bodyBytes, handler, clock);
+    adminServer = AdminServer.start(settings.admin(), this::isReady, metrics);
+  }
+
+  /**
+   * Starts the program. It is ready once {@link #session} has received a configuration.
+   *
+   * @param settings settings
+   * @return the running program
+   */
+  public static EntryProgram start(EntrySettings settings) {
+    EntryProgram program = new EntryProgram(settings);
+    logger.atInfo().log("listening for callers on port %s", program.callerPort());
+    return program;
+  }
+
+  /**
+   * Returns the session to which the connection to control belongs.
+   *
+   * @return the session
+   */
+  public ControlSession session() {
+    return session;
+  }
+
+  /**
+   * Returns the port for callers.
+   *
+   * @return the port
+   */
+  public int callerPort() {
+    return callerServer.port();
+  }
+
+  /**
+   * Returns the port for health checks and metrics.
+   *
+   * @return the port
+   */
+  public int adminPort() {
+    return adminServer.port();
+  }
+
+  /**
+   * Tells whether the load balancer may send requests.
+   *
+   * @return whether it may
+   */
+  public boolean isReady() {
+    return !stopping && views.configuration().isPresent();
+  }
+
+  /**
+   * Stops without cutting requests: fails the readiness check, waits for the load balancer, closes
+   * the listener, lets requests in flight finish, and returns tokens to control.
+   *
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public void stop() throws InterruptedException {
+    stopping = true;
+    callerServer.announceStop();
+    Thread.sleep(settings.stop().balancerDelay().toMillis());
+    callerServer.closeListener();
+    handler.stopAccepting();
+    if (!awaitIdle(settings.stop().drainLimit())) {
+      logger.atWarning().log("ending %s requests at the drain limit", handler.inFlight());
+      running.abortAll();
+      awaitIdle(ABORT_LIMIT);
+    }
+    accounts.returnAll();
+    session.reportUse(uses.report(clock.nowMs()));
+    close();
+  }
+
+  private void close() throws InterruptedException {
+    callerServer.close();
+    adminServer.close();
+    client.close();
+    timers.close();
+    workers.shutdown();
+    workers.awaitTermination(ABORT_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+    traces.close();
+  }
+
+  private void subscribe(ModelWaitRoom room) {
+    timers.every(Duration.ofMillis(ModelWaitRoom.TICK_MS), room::tick);
+    timers.every(Duration.ofMillis(RunningAttempts.TICK_MS), running::tick);
+    timers.every(Duration.ofMillis(TokenAccounts.TICK_MS), accounts::tick);
+    timers.every(USE_PERIOD, () -> session.reportUse(uses.report(clock.nowMs())));
+  }
+
+  private boolean awaitIdle(Duration limit) throws InterruptedException {
+    long end = clock.nowMs() + limit.toMillis();
+    while (handler.inFlight() > 0 && clock.nowMs() < end) {
+      Thread.sleep(POLL_MS);
+    }
+    return handler.inFlight() == 0;
+  }
+
+  private static Traces traces(EntrySettings.Trace trace) {
+    return switch (trace.exporter()) {
+      case "log" -> Traces.log();
+      case "otlp" -> Traces.otlp(trace.endpoint());
+      default -> Traces.none();
+    };
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntrySettings.java
@@ -0,0 +1,166 @@
+package io.kumquatspindle.entry;
+
+import io.kumquatspindle.api.model.FailureDomain;
+import io.kumquatspindle.api.model.VmId;
+import io.kumquatspindle.api.settings.Settings;
+import io.kumquatspindle.api.settings.SettingsException;
+import io.kumquatspindle.entry.request.RequestLimits;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Settings of the entry program.
+ *
+ * @param vm id of this VM
+ * @param failureDomain failure domain of this VM
+ * @param callers address for callers
+ * @param admin address for health checks and metrics
+ * @param control addresses of control programs, the local one first
+ * @param limits limits of single requests
+ * @param stop times of a graceful stop
+ * @param log format and level of the log
+ * @param trace where traces go
+ */
+public record EntrySettings(
+    VmId vm,
+    FailureDomain failureDomain,
+    InetSocketAddress callers,
+    InetSocketAddress admin,
+    List<InetSocketAddress> control,
+    RequestLimits limits,
+    Stop stop,
+    Log log,
+    Trace trace) {
+
+  private static final Duration MAX_DURATION = Duration.ofHours(1);
+  private static final String ADDRESS = "an address such as 127.0.0.1:8080";
+
+  /**
+   * Times of a graceful stop.
+   *
+   * @param balancerDelay time that the load balancer needs to notice that the VM is not ready
+   * @param drainLimit longest time for requests in flight
+   */
+  public record Stop(Duration balancerDelay, Duration drainLimit) {}
+
+  /**
+   * The log.
+   *
+   * @param format json or text
+   * @param level least level that is written
+   */
+  public record Log(String format, String level) {}
+
+  /**
+   * Traces.
+   *
+   * @param exporter none, log or otlp
+   * @param endpoint URL of the collector, for otlp
+   */
+  public record Trace(String exporter, String endpoint) {}
+
+  /**
+   * Reads a settings file.
+   *
+   * @param file the file
+   * @return the settings
+   * @throws SettingsException if something is wrong; its message has one line for each fault
+   */
+  public static EntrySettings load(Path file) throws SettingsException {
+    Settings s = Settings.load(file);
+    Optional<VmId> vm = s.value("vm", "id", "a name", v -> Optional.of(VmId.of(v)));
+    Optional<FailureDomain> domain =
+        s.value("vm", "failure_domain", "a name", v -> Optional.of(FailureDomain.of(v)));
+    Optional<InetSocketAddress> callers =
+        s.value("listen", "callers", ADDRESS, EntrySettings::address);
+    Optional<InetSocketAddress> admin = s.value("listen", "admin", ADDRESS, EntrySettings::address);
+    List<InetSocketAddress> control = control(s);
+    RequestLimits limits = limits(s);
+    Stop stop = stop(s);
+    Log log =
+        new Log(
+            choice(s, "log", "format", "json", List.of("json", "text")),
+            choice(s, "log", "level", "info", List.of("debug", "info", "warn", "error")));
+    Trace trace = trace(s);
+    s.finish();
+    return new EntrySettings(
+        vm.orElseThrow(),
+        domain.orElseThrow(),
+        callers.orElseThrow(),
+        admin.orElseThrow(),
+        control,
+        limits,
+        stop,
+        log,
+        trace);
+  }
+
+  private static RequestLimits limits(Settings s) {
+    int bodyBytes = (int) s.number("limits", "body_bytes", 4L << 20, 1024, 64L << 20);
+    int waiting = (int) s.number("limits", "waiting_requests", 2_000, 1, 100_000);
+    Duration min = Duration.ofMillis(1);
+    Duration standard =
+        s.millis("limits", "default_deadline_ms", Duration.ofSeconds(30), min, MAX_DURATION);
+    Duration max =
+        s.millis("limits", "max_deadline_ms", Duration.ofSeconds(120), min, MAX_DURATION);
+    if (standard.compareTo(max) > 0) {
+      s.fault("limits", "default_deadline_ms", "at most max_deadline_ms");
+    }
+    long maxTokens = s.number("limits", "default_max_tokens", 256, 1, 1_000_000);
+    return new RequestLimits(bodyBytes, waiting, standard, max, maxTokens);
+  }
+
+  private static Stop stop(Settings s) {
+    Duration delay =
+        s.millis("stop", "balancer_delay_ms", Duration.ofSeconds(5), Duration.ZERO, MAX_DURATION);
+    Duration drain =
+        s.millis("stop", "drain_limit_ms", Duration.ofSeconds(120), Duration.ZERO, MAX_DURATION);
+    return new Stop(delay, drain);
+  }
+
+  private static Trace trace(Settings s) {
+    String exporter = choice(s, "trace", "exporter", "none", List.of("none", "log", "otlp"));
+    String endpoint = s.text("trace", "endpoint", "");
+    if (exporter.equals("otlp") && !endpoint.startsWith("http")) {
+      s.fault("trace", "endpoint", "a URL such as http://127.0.0.1:4318/v1/traces");
+    }
+    return new Trace(exporter, endpoint);
+  }
+
+  private static List<InetSocketAddress> control(Settings s) {
+    List<InetSocketAddress> addresses = new ArrayList<>();
+    for (String text : s.list("control", "addresses")) {
+      Optional<InetSocketAddress> address = address(text);
+      address.ifPresentOrElse(
+          addresses::add, () -> s.fault("control", "addresses", "a list with " + ADDRESS));
+    }
+    if (addresses.isEmpty()) {
+      s.fault("control", "addresses", "at least one address");
+    }
+    return List.copyOf(addresses);
+  }
+
+  private static String choice(
+      Settings s, String section, String key, String standard, List<String> allowed) {
+    String value = s.text(section, key, standard);
+    if (!allowed.contains(value)) {
+      s.fault(section, key, "one of " + String.join(", ", allowed));
+    }
+    return value;
+  }
+
+  private static Optional<InetSocketAddress> address(String text) {
+    int colon = text.lastIndexOf(':');
+    if (colon < 1) {
+      return Optional.empty();
+    }
+    int port = Integer.parseInt(text.substring(colon + 1));
+    return port < 0 || port > 65_535
+        ? Optional.empty()
+        : Optional.of(InetSocketAddress.createUnresolved(text.substring(0, colon), port));
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/ConfigurationView.java
@@ -0,0 +1,124 @@
+package io.kumquatspindle.entry.control;
+
+import io.kumquatspindle.api.config.Configuration;
+import io.kumquatspindle.api.config.CustomerSpec;
+import io.kumquatspindle.api.config.KeySpec;
+import io.kumquatspindle.api.error.ErrorKind;
+import io.kumquatspindle.api.message.EntryMessage.ConfigUpdate;
+import io.kumquatspindle.api.message.EntryMessage.Freshness;
+import io.kumquatspindle.api.model.KeyHash;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** The newest configuration that control has sent, and when it was last confirmed. */
+public final class ConfigurationView {
+  private static final long MS_PER_SECOND = 1_000;
+
+  private record State(long offset, long confirmedAtMs, Configuration configuration) {}
+
+  private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+  private volatile State state;
+
+  /**
+   * Returns the configuration.
+   *
+   * @return the configuration; empty content before the first update
+   */
+  public Configuration configuration() {
+    State s = state;
+    return s == null ? Configuration.EMPTY : s.configuration();
+  }
+
+  /**
+   * Tells whether a configuration has arrived.
+   *
+   * @return whether one has
+   */
+  public boolean isPresent() {
+    return state != null;
+  }
+
+  /**
+   * Subscribes to changes.
+   *
+   * @param listener called after each change on the thread that receives; must not block
+   */
+  public void onChange(Runnable listener) {
+    listeners.add(listener);
+  }
+
+  /**
+   * Checks a key that a caller shows.
+   *
+   * @param key the key
+   * @param nowMs current time in milliseconds
+   * @return the customer behind the key, or why the key is refused
+   */
+  public KeyResult check(String key, long nowMs) {
+    State s = state;
+    if (s == null) {
+      return new KeyResult.Refused(ErrorKind.STALE_CONFIGURATION);
+    }
+    Configuration c = s.configuration();
+    KeyHash hash = KeyHash.ofKey(key);
+    Optional<ErrorKind> fault = fault(c, hash);
+    if (fault.isPresent()) {
+      return new KeyResult.Refused(fault.get());
+    }
+    CustomerSpec customer = c.customers().get(c.keys().get(hash).customer());
+    long staleMs = nowMs - s.confirmedAtMs();
+    if (staleMs > customer.offlineGraceSeconds() * MS_PER_SECOND) {
+      return new KeyResult.Refused(ErrorKind.STALE_CONFIGURATION);
+    }
+    return new KeyResult.Accepted(hash, customer);
+  }
+
+  /**
+   * Tells whether a key has stopped working since it was accepted.
+   *
+   * @param hash hash of the key
+   * @return what is wrong with the key, or empty if it works
+   */
+  public Optional<ErrorKind> fault(KeyHash hash) {
+    return fault(configuration(), hash);
+  }
+
+  private static Optional<ErrorKind> fault(Configuration c, KeyHash hash) {
+    KeySpec spec = c.keys().get(hash);
+    if (spec == null || !equal(spec.hash(), hash) || !c.customers().containsKey(spec.customer())) {
+      return Optional.of(ErrorKind.UNKNOWN_KEY);
+    }
+    return spec.withdrawn() ? Optional.of(ErrorKind.KEY_WITHDRAWN) : Optional.empty();
+  }
+
+  synchronized void update(ConfigUpdate update, long nowMs) {
+    State old = state;
+    // A control that lags behind the previous one must not bring a withdrawn key back.
+    if (old != null && update.ticketsOffset() < old.offset()) {
+      return;
+    }
+    long confirmed = nowMs - update.confirmedAgoMs();
+    long newest = old == null ? confirmed : Math.max(confirmed, old.confirmedAtMs());
+    state = new State(update.ticketsOffset(), newest, update.configuration());
+    listeners.forEach(Runnable::run);
+  }
+
+  synchronized void confirm(Freshness freshness, long nowMs) {
+    State old = state;
+    // A confirmation of newer tickets says nothing about the older ones held here.
+    if (old == null || freshness.ticketsOffset() > old.offset()) {
+      return;
+    }
+    long confirmed = Math.max(old.confirmedAtMs(), nowMs - freshness.confirmedAgoMs());
+    state = new State(old.offset(), confirmed, old.configuration());
+  }
+
+  private static boolean equal(KeyHash a, KeyHash b) {
+    byte[] x = a.value().getBytes(StandardCharsets.US_ASCII);
+    byte[] y = b.value().getBytes(StandardCharsets.US_ASCII);
+    return MessageDigest.isEqual(x, y);
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccounts.java
@@ -0,0 +1,104 @@
+package io.kumquatspindle.entry.control;
+
+import io.kumquatspindle.api.message.EntryMessage.TokenGrant;
+import io.kumquatspindle.api.model.CustomerName;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+/** Token accounts of all customers on this VM, refilled from control. */
+public final class TokenAccounts {
+  /** Time that a request waits for control's answer, in milliseconds. */
+  static final long ASK_TIMEOUT_MS = 100;
+
+  /** Period of {@link #tick}; a refill covers the demand of one period. */
+  public static final long TICK_MS = 250;
+
+  // Told to a caller whose tokens control could not say anything about.
+  private static final long RETRY_AFTER_MS = 1_000;
+
+  private final ControlClient control;
+  private final Map<CustomerName, TokenAccount> accounts = new ConcurrentHashMap<>();
+
+  /**
+   * Creates empty accounts.
+   *
+   * @param control where tokens come from
+   */
+  public TokenAccounts(ControlClient control) {
+    this.control = control;
+  }
+
+  /**
+   * Takes tokens, after a question to control if the account is dry.
+   *
+   * @param customer the customer
+   * @param tokens tokens to take, at least 0
+   * @return completes with empty when they are taken, or with the time after which the caller may
+   *     try again, in milliseconds; never fails
+   */
+  public CompletableFuture<Optional<Long>> take(CustomerName customer, long tokens) {
+    TokenAccount account = account(customer);
+    account.demand(tokens);
+    if (account.take(tokens)) {
+      refill(customer, account);
+      return CompletableFuture.completedFuture(Optional.empty());
+    }
+    return ask(customer, account, account.missing(tokens))
+        .completeOnTimeout(RETRY_AFTER_MS, ASK_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+        .thenApply(retryMs -> account.take(tokens) ? Optional.empty() : Optional.of(retryMs));
+  }
+
+  /**
+   * Puts tokens back that a request did not use, or takes those that it used in excess.
+   *
+   * @param customer the customer
+   * @param tokens unused tokens; negative for an excess
+   */
+  public void settle(CustomerName customer, long tokens) {
+    account(customer).give(tokens);
+  }
+
+  /** Returns what is not needed here to control; call it each {@link #TICK_MS}. */
+  public void tick() {
+    accounts.forEach((customer, account) -> giveBack(customer, account, account.takeSurplus()));
+  }
+
+  /** Returns all tokens to control. */
+  public void returnAll() {
+    accounts.forEach((customer, account) -> giveBack(customer, account, account.takeAll()));
+  }
+
+  private void giveBack(CustomerName customer, TokenAccount account, long tokens) {
+    if (tokens != 0 && !control.returnTokens(customer, tokens)) {
+      account.give(tokens);
+    }
+  }
+
+  private void refill(CustomerName customer, TokenAccount account) {
+    long tokens = account.startRefill();
+    if (tokens > 0) {
+      ask(customer, account, tokens).whenComplete((retryMs, e) -> account.endRefill());
+    }
+  }
+
+  // A late grant is added to the account too, since the request's timeout is on a copy.
+  private CompletableFuture<Long> ask(CustomerName customer, TokenAccount account, long tokens) {
+    return control
+        .askTokens(customer, tokens)
+        .thenApply(grant -> credit(account, grant))
+        .exceptionally(e -> RETRY_AFTER_MS)
+        .copy();
+  }
+
+  private static long credit(TokenAccount account, TokenGrant grant) {
+    account.give(grant.tokens());
+    return Math.max(1, grant.retryAfterMs());
+  }
+
+  private TokenAccount account(CustomerName customer) {
+    return accounts.computeIfAbsent(customer, c -> new TokenAccount());
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/Attempt.java
@@ -0,0 +1,199 @@
+package io.kumquatspindle.entry.dispatch;
+
+import com.google.common.flogger.FluentLogger;
+import io.kumquatspindle.api.config.EndpointSpec;
+import io.kumquatspindle.api.error.ErrorKind;
+import io.kumquatspindle.api.time.TimerService;
+import io.kumquatspindle.entry.dispatch.AttemptFailure.Cause;
+import io.kumquatspindle.entry.request.Refusal;
+import io.kumquatspindle.entry.request.RequestContext;
+import io.kumquatspindle.entry.request.RequestEnvironment;
+import io.kumquatspindle.entry.request.Target.Completion;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.Response;
+
+/** One exchange with an endpoint. It answers the caller or reports a failure, exactly once. */
+final class Attempt implements Callback {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Gets the end of an attempt. */
+  interface Listener {
+    /** The caller has its answer, is gone, or was told about a broken stream. */
+    void answered();
+
+    /** The caller has seen nothing of this attempt. */
+    void failed(AttemptFailure failure);
+  }
+
+  private final RequestContext context;
+  private final EndpointSpec endpoint;
+  private final AttemptHeaders headers;
+  private final RunningAttempt running;
+  private final RequestEnvironment env;
+  private final Listener listener;
+  private TimerService.Subscription deadline = () -> {};
+
+  Attempt(
+      RequestContext context,
+      EndpointSpec endpoint,
+      AttemptHeaders headers,
+      RunningAttempt running,
+      RequestEnvironment env,
+      Listener listener) {
+    this.context = context;
+    this.endpoint = endpoint;
+    this.headers = headers;
+    this.running = running;
+    this.env = env;
+    this.listener = listener;
+  }
+
+  void start(Call call) {
+    long left = Math.max(1, context.deadlineMs() - env.clock().nowMs());
+    deadline = env.timers().after(Duration.ofMillis(left), () -> running.abort(Abort.DEADLINE));
+    call.enqueue(this);
+  }
+
+  @Override
+  public void onFailure(Call call, IOException e) {
+    deadline.cancel();
+    listener.failed(failure(e));
+  }
+
+  @Override
+  public void onResponse(Call call, Response response) {
+    Optional<AttemptFailure> failure;
+    try (response) {
+      failure = handle(call, response);
+    } catch (CallerGoneException e) {
+      call.cancel();
+      context.reply().callerLeft();
+      failure = Optional.empty();
+    } catch (IOException e) {
+      call.cancel();
+      failure = afterBreak(e);
+    } catch (RuntimeException e) {
+      call.cancel();
+      logger.atSevere().withCause(e).log("attempt %s failed", headers.attemptId());
+      failure = afterBreak(new IOException("internal error"));
+    } finally {
+      deadline.cancel();
+    }
+    failure.ifPresentOrElse(listener::failed, listener::answered);
+  }
+
+  private Optional<AttemptFailure> handle(Call call, Response response) throws IOException {
+    Optional<AttemptFailure> rejected = rejection(response);
+    if (rejected.isPresent()) {
+      // Closing without reading to the end must not leave the connection in the pool.
+      call.cancel();
+      return rejected;
+    }
+    Runnable firstByte =
+        () -> env.metrics().firstByte(env.clock().nowMs() - context.request().arrivedMs());
+    if (streamed().isPresent() && response.code() == 200 && isEventStream(response)) {
+      new StreamRelay(context, streamed().get(), running, env.clock())
+          .relay(response.body().source(), firstByte);
+      finishBody(response);
+    } else {
+      new WholeRelay(context, running).relay(response, firstByte);
+    }
+    return Optional.empty();
+  }
+
+  // Reads the end of the body so that the connection can be used again.
+  private void finishBody(Response response) {
+    running.readingSince(env.clock().nowMs());
+    try {
+      if (!response.body().source().exhausted()) {
+        logger.atWarning().log("%s sends data after the end marker", endpoint.name());
+      }
+    } catch (IOException e) {
+      logger.atFine().log("%s broke the connection after the end marker", endpoint.name());
+    } finally {
+      running.notReading();
+    }
+  }
+
+  private Optional<AttemptFailure> rejection(Response response) {
+    String echoed = response.header("x-request-id");
+    boolean engine = endpoint.kind() == EndpointSpec.Kind.ENGINE;
+    boolean missing = echoed == null && engine && response.isSuccessful();
+    if (missing || (echoed != null && !echoed.equals(headers.attemptId()))) {
+      logger.atWarning().log(
+          "%s answered %s with another id", endpoint.name(), headers.attemptId());
+      String message = "the endpoint's answer belongs to another request";
+      return Optional.of(failure(ErrorKind.ANSWER_INCOMPLETE, message, Cause.UNKNOWN));
+    }
+    if (!response.isSuccessful() && "true".equalsIgnoreCase(response.header("x-not-run"))) {
+      Cause cause = response.code() == 404 && engine ? Cause.NOT_LOADED : Cause.NOT_TAKEN;
+      String message = "the endpoint did not take the request";
+      return Optional.of(failure(ErrorKind.ENDPOINT_REFUSED, message, cause));
+    }
+    if (engine && response.code() >= 500) {
+      String message = "the endpoint failed with status " + response.code();
+      return Optional.of(failure(ErrorKind.ENDPOINT_FAILED, message, Cause.UNKNOWN));
+    }
+    return Optional.empty();
+  }
+
+  // A break before the first byte is an ordinary failure; after it, the caller gets an error event.
+  private Optional<AttemptFailure> afterBreak(IOException e) {
+    if (!running.isCommitted()) {
+      return Optional.of(failure(e));
+    }
+    if (running.aborted().filter(a -> a == Abort.CALLER_LEFT).isPresent()) {
+      context.reply().callerLeft();
+    } else {
+      Refusal broken = Refusal.of(ErrorKind.ANSWER_INCOMPLETE, "the answer broke off");
+      context.refuse(running.aborted().map(Attempt::abortRefusal).orElse(broken));
+    }
+    return Optional.empty();
+  }
+
+  private AttemptFailure failure(IOException e) {
+    boolean sent = headers.probe().mayHaveSent();
+    Optional<Abort> abort = running.aborted();
+    if (abort.isPresent()) {
+      Cause cause = sent ? Cause.ABORTED : Cause.ABORTED_NOT_SENT;
+      return new AttemptFailure(abortRefusal(abort.get()), cause);
+    }
+    logger.atFine().log("%s failed: %s", endpoint.name(), e.getMessage());
+    return sent
+        ? failure(ErrorKind.ENDPOINT_FAILED, "the endpoint broke off", Cause.UNKNOWN)
+        : failure(ErrorKind.NO_ENDPOINT, "the endpoint cannot be reached", Cause.NOT_SENT);
+  }
+
+  private static Refusal abortRefusal(Abort abort) {
+    return switch (abort) {
+      case KEY_WITHDRAWN -> Refusal.of(ErrorKind.KEY_WITHDRAWN, "the key has been withdrawn");
+      case DEADLINE -> Refusal.of(ErrorKind.DEADLINE_EXCEEDED, "no answer before the deadline");
+      case STALLED -> Refusal.of(ErrorKind.ANSWER_INCOMPLETE, "the endpoint stopped sending");
+      case STOPPING -> Refusal.of(ErrorKind.SHUTTING_DOWN, "the VM is stopping");
+      case CALLER_LEFT -> Refusal.of(ErrorKind.ANSWER_INCOMPLETE, "the caller left");
+    };
+  }
+
+  private static AttemptFailure failure(ErrorKind kind, String message, Cause cause) {
+    return new AttemptFailure(Refusal.of(kind, message), cause);
+  }
+
+  private Optional<Completion> streamed() {
+    return context
+        .target()
+        .orElseThrow()
+        .fold(
+            c -> Optional.of(c).filter(Completion::streamed),
+            s -> Optional.empty(),
+            l -> Optional.empty());
+  }
+
+  private static boolean isEventStream(Response response) {
+    String type = response.header("Content-Type");
+    return type != null && type.startsWith("text/event-stream");
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/DispatchRun.java
@@ -0,0 +1,162 @@
+package io.kumquatspindle.entry.dispatch;
+
+import com.google.common.flogger.FluentLogger;
+import io.kumquatspindle.api.config.EndpointSpec;
+import io.kumquatspindle.api.error.ErrorKind;
+import io.kumquatspindle.api.model.ArtifactName;
+import io.kumquatspindle.api.model.EndpointName;
+import io.kumquatspindle.entry.control.KeyResult;
+import io.kumquatspindle.entry.dispatch.AttemptFailure.Cause;
+import io.kumquatspindle.entry.observe.Traces;
+import io.kumquatspindle.entry.request.Refusal;
+import io.kumquatspindle.entry.request.RequestContext;
+import io.kumquatspindle.entry.request.Target;
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+import io.opentelemetry.api.trace.StatusCode;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import okhttp3.Call;
+
+/** The attempts of one request, one after another. */
+final class DispatchRun {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  // Ends a request that endpoints keep refusing without running it.
+  private static final int MAX_ATTEMPTS = 10;
+
+  private final DispatchFilter filter;
+  private final RequestContext context;
+  private final Target target;
+  private final Optional<ArtifactName> artifact;
+  private final Set<EndpointName> tried = new HashSet<>();
+  private Refusal last = Refusal.of(ErrorKind.NO_ENDPOINT, "no endpoint can take the request");
+  private int attempts;
+
+  DispatchRun(DispatchFilter filter, RequestContext context) {
+    this.filter = filter;
+    this.context = context;
+    this.target = context.target().orElseThrow();
+    this.artifact =
+        target.fold(c -> Optional.of(c.artifact()), s -> Optional.empty(), l -> Optional.empty());
+  }
+
+  void next() {
+    try {
+      Optional<ErrorKind> fault =
+          context.caller().flatMap(c -> filter.views.configuration().fault(c.hash()));
+      if (fault.isPresent()) {
+        context.refuse(Refusal.of(fault.get(), "the key stopped working"));
+      } else if (filter.env.clock().nowMs() >= context.deadlineMs()) {
+        String message = "no endpoint answered before the deadline";
+        context.refuse(Refusal.of(ErrorKind.DEADLINE_EXCEEDED, message));
+      } else {
+        filter.picker.pick(target, tried).ifPresentOrElse(this::attempt, this::withoutEndpoint);
+      }
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("request %s failed", context.requestId());
+      context.refuse(Refusal.of(ErrorKind.INTERNAL, "internal error"));
+    }
+  }
+
+  private void withoutEndpoint() {
+    if (attempts < MAX_ATTEMPTS && filter.picker.mustWait(target)) {
+      tried.clear();
+      filter.room.enter(context, c -> next());
+    } else {
+      context.refuse(last);
+    }
+  }
+
+  private void attempt(EndpointSpec endpoint) {
+    attempts++;
+    tried.add(endpoint.name());
+    Span span = filter.env.traces().child(context.span(), "endpoint attempt", SpanKind.CLIENT);
+    span.setAttribute("endpoint", endpoint.name().value());
+    String id = context.requestId() + "-" + attempts;
+    AttemptHeaders headers = new AttemptHeaders(id, Traces.traceparent(span), new AttemptProbe());
+    Call call;
+    try {
+      call = filter.client.prepare(endpoint.url(), path(), context.request(), headers);
+    } catch (IllegalArgumentException e) {
+      span.end();
+      String message = "the request cannot be passed on: invalid method, path or header";
+      context.refuse(Refusal.of(ErrorKind.MALFORMED_REQUEST, message));
+      return;
+    }
+    var key = context.caller().map(KeyResult.Accepted::hash);
+    RunningAttempt running = new RunningAttempt(call, key, isRepeatable());
+    start(endpoint, headers, span, running, call);
+  }
+
+  private void start(
+      EndpointSpec endpoint, AttemptHeaders headers, Span span, RunningAttempt running, Call call) {
+    filter.running.add(running);
+    filter.views.loads().sent(endpoint.name(), filter.env.clock().nowMs());
+    artifact.ifPresent(a -> filter.uses.started(endpoint.name(), a));
+    if (isRepeatable()) {
+      context.reply().onGone(() -> running.abort(Abort.CALLER_LEFT));
+    }
+    Attempt.Listener listener =
+        new Attempt.Listener() {
+          @Override
+          public void answered() {
+            end(endpoint, span, running);
+          }
+
+          @Override
+          public void failed(AttemptFailure failure) {
+            span.setStatus(StatusCode.ERROR, failure.refusal().message());
+            end(endpoint, span, running);
+            afterFailure(endpoint, running, failure);
+          }
+        };
+    new Attempt(context, endpoint, headers, running, filter.env, listener).start(call);
+  }
+
+  private void end(EndpointSpec endpoint, Span span, RunningAttempt running) {
+    span.end();
+    filter.running.remove(running);
+    artifact.ifPresent(a -> filter.uses.ended(endpoint.name(), a, filter.env.clock().nowMs()));
+  }
+
+  private void afterFailure(EndpointSpec endpoint, RunningAttempt running, AttemptFailure failure) {
+    last = failure.refusal();
+    if (!failure.certainlyNotRun()) {
+      context.reply().markMayHaveRun();
+      context.use().set(target.fold(c -> c.promptTokens(), s -> s.spec().tokensPerCall(), l -> 0L));
+    }
+    if (running.aborted().filter(a -> a == Abort.CALLER_LEFT).isPresent()) {
+      context.reply().callerLeft();
+      return;
+    }
+    if (failure.cause() == Cause.NOT_LOADED) {
+      artifact.ifPresent(a -> filter.views.placement().notLoaded(endpoint.name(), a));
+    } else if (!failure.isAborted()) {
+      filter.views.loads().failed(endpoint.name(), filter.env.clock().nowMs());
+    }
+    if (mayTryAgain(failure)) {
+      filter.env.metrics().retried();
+      next();
+    } else {
+      context.refuse(last);
+    }
+  }
+
+  private boolean mayTryAgain(AttemptFailure failure) {
+    if (failure.isAborted() || attempts >= MAX_ATTEMPTS) {
+      return false;
+    }
+    return failure.certainlyNotRun() || (isRepeatable() && filter.mayRetry());
+  }
+
+  private boolean isRepeatable() {
+    return target.fold(c -> true, s -> s.spec().repeatable(), l -> true);
+  }
+
+  private String path() {
+    return target.fold(
+        c -> context.request().path(), s -> s.pathAndQuery(), l -> context.request().path());
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/RunningAttempts.java
@@ -0,0 +1,62 @@
+package io.kumquatspindle.entry.dispatch;
+
+import io.kumquatspindle.api.time.MonotonicClock;
+import io.kumquatspindle.entry.control.ConfigurationView;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** All attempts in progress, for the checks that may end them. */
+public final class RunningAttempts {
+  /** Period of {@link #tick} in milliseconds. */
+  public static final long TICK_MS = 250;
+
+  /** The longest time between two bytes of a stream, in milliseconds. */
+  static final long STALL_LIMIT_MS = 10_000;
+
+  private final Set<RunningAttempt> attempts = ConcurrentHashMap.newKeySet();
+  private final ConfigurationView configuration;
+  private final MonotonicClock clock;
+
+  /**
+   * Creates an empty set that follows the configuration.
+   *
+   * @param configuration tells which keys work
+   * @param clock the clock
+   */
+  public RunningAttempts(ConfigurationView configuration, MonotonicClock clock) {
+    this.configuration = configuration;
+    this.clock = clock;
+    configuration.onChange(this::checkKeys);
+  }
+
+  void add(RunningAttempt attempt) {
+    attempts.add(attempt);
+  }
+
+  void remove(RunningAttempt attempt) {
+    attempts.remove(attempt);
+  }
+
+  /** Ends streams whose endpoint has stalled; call it each {@link #TICK_MS}. */
+  public void tick() {
+    long now = clock.nowMs();
+    for (RunningAttempt a : attempts) {
+      if (a.isStalled(now, STALL_LIMIT_MS)) {
+        a.abort(Abort.STALLED);
+      }
+    }
+  }
+
+  /** Ends all attempts because the program stops. */
+  public void abortAll() {
+    attempts.forEach(a -> a.abort(Abort.STOPPING));
+  }
+
+  private void checkKeys() {
+    for (RunningAttempt a : attempts) {
+      if (a.mayBeCutShort() && a.key().flatMap(configuration::fault).isPresent()) {
+        a.abort(Abort.KEY_WITHDRAWN);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/StreamRelay.java
@@ -0,0 +1,86 @@
+package io.kumquatspindle.entry.dispatch;
+
+import io.kumquatspindle.api.time.MonotonicClock;
+import io.kumquatspindle.entry.request.RequestContext;
+import io.kumquatspindle.entry.request.Target.Completion;
+import java.io.EOFException;
+import java.io.IOException;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import okio.BufferedSource;
+
+/** Relays the events of a streamed completion one by one. */
+final class StreamRelay {
+  private static final Map<String, String> HEADERS =
+      Map.of("Content-Type", "text/event-stream", "Cache-Control", "no-cache");
+
+  private final RequestContext context;
+  private final Completion target;
+  private final RunningAttempt running;
+  private final MonotonicClock clock;
+  private long chunks;
+  private OptionalLong reported = OptionalLong.empty();
+
+  StreamRelay(
+      RequestContext context, Completion target, RunningAttempt running, MonotonicClock clock) {
+    this.context = context;
+    this.target = target;
+    this.running = running;
+    this.clock = clock;
+  }
+
+  // Returns after the end marker has been relayed. Throws CallerGoneException if the caller takes
+  // no more, and any other IOException if the stream is broken.
+  void relay(BufferedSource source, Runnable firstByte) throws IOException {
+    SseReader reader = new SseReader(source);
+    Optional<byte[]> event = read(reader);
+    if (event.isEmpty()) {
+      throw new EOFException("empty stream");
+    }
+    if (!running.commit()) {
+      throw new IOException("ended before the first byte");
+    }
+    firstByte.run();
+    if (!context.reply().startStream(HEADERS)) {
+      throw new CallerGoneException(new IOException("the request has ended"));
+    }
+    for (; event.isPresent(); event = read(reader)) {
+      count(event.get());
+      write(event.get());
+      if (SseReader.isDone(event.get())) {
+        context.reply().endStream();
+        return;
+      }
+    }
+    throw new EOFException("no end marker");
+  }
+
+  private Optional<byte[]> read(SseReader reader) throws IOException {
+    running.readingSince(clock.nowMs());
+    try {
+      return reader.next();
+    } finally {
+      running.notReading();
+    }
+  }
+
+  private void write(byte[] event) throws CallerGoneException {
+    try {
+      context.reply().write(event);
+    } catch (IOException e) {
+      throw new CallerGoneException(e);
+    }
+  }
+
+  private void count(byte[] event) {
+    String data = SseReader.data(event);
+    if (data.isEmpty() || SseReader.isDone(event)) {
+      return;
+    }
+    chunks++;
+    OptionalLong usage = UsageReader.totalTokens(data);
+    reported = usage.isPresent() ? usage : reported;
+    context.use().set(reported.orElse(target.promptTokens() + chunks));
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/package-info.java
@@ -0,0 +1,2 @@
+/** Sending of requests to endpoints and relaying of their answers. */
+package io.kumquatspindle.entry.dispatch;
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/CallerChannel.java
@@ -0,0 +1,136 @@
+package io.kumquatspindle.entry.http;
+
+import io.jooby.Context;
+import io.jooby.ForwardingContext;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.util.AttributeKey;
+import java.lang.reflect.Field;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The Netty channel of a caller's connection. It gives what Jooby does not offer: closing the
+ * connection, notice of the caller closing it, and one request at a time, since answers to
+ * pipelined requests would otherwise arrive in the wrong order.
+ */
+final class CallerChannel {
+  private static final AttributeKey<CallerChannel> KEY =
+      AttributeKey.valueOf(CallerChannel.class, "caller");
+  private static final int MAX_PIPELINED = 32;
+
+  /** Time after which a caller that takes nothing loses its connection, in seconds. */
+  static final long WRITE_STALL_SECONDS = 30;
+
+  private final Channel channel;
+  private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+  private boolean busy;
+
+  private CallerChannel(Channel channel) {
+    this.channel = channel;
+    channel.config().setOption(ChannelOption.SO_KEEPALIVE, true);
+  }
+
+  // Must be called on the connection's event loop.
+  static CallerChannel of(Context context) {
+    Channel channel = channel(context);
+    CallerChannel known = channel.attr(KEY).get();
+    if (known == null) {
+      known = new CallerChannel(channel);
+      channel.attr(KEY).set(known);
+    }
+    return known;
+  }
+
+  // Runs a request when the earlier ones of the connection have ended. Event loop only.
+  void enter(Runnable request) {
+    if (busy && waiting.size() >= MAX_PIPELINED) {
+      channel.close();
+    } else if (busy) {
+      waiting.add(request);
+    } else {
+      busy = true;
+      request.run();
+    }
+  }
+
+  // Takes the next request when what has been written so far is on its way.
+  void ended(Runnable written) {
+    ChannelFuture flushed = channel.writeAndFlush(Unpooled.EMPTY_BUFFER);
+    channel.eventLoop().execute(() -> watch(flushed, -1));
+    flushed.addListener(
+        f -> {
+          written.run();
+          nextRequest();
+        });
+  }
+
+  // Closes the connection if the caller has taken nothing since the last check.
+  private void watch(ChannelFuture flushed, long pendingBefore) {
+    if (flushed.isDone()) {
+      return;
+    }
+    ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+    long pending = buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    if (pending == pendingBefore) {
+      channel.close();
+    } else {
+      Runnable again = () -> watch(flushed, pending);
+      channel.eventLoop().schedule(again, WRITE_STALL_SECONDS, TimeUnit.SECONDS);
+    }
+  }
+
+  void onClosed(Runnable listener) {
+    channel.closeFuture().addListener(f -> listener.run());
+  }
+
+  void closeAfterWrites() {
+    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  void close() {
+    channel.close();
+  }
+
+  // Returns the listener that accepted this connection.
+  Channel listener() {
+    return channel.parent();
+  }
+
+  private void nextRequest() {
+    if (!channel.isActive()) {
+      // Nobody would get the answers.
+      waiting.clear();
+    }
+    Runnable next = waiting.poll();
+    if (next == null) {
+      busy = false;
+    } else {
+      next.run();
+    }
+  }
+
+  private static Channel channel(Context context) {
+    Context netty = context;
+    while (netty instanceof ForwardingContext) {
+      netty = (Context) read(netty, ForwardingContext.class, "ctx");
+    }
+    return ((ChannelHandlerContext) read(netty, netty.getClass(), "ctx")).channel();
+  }
+
+  // Jooby 3.0.9 has no public access to the channel.
+  private static Object read(Object object, Class<?> type, String name) {
+    try {
+      Field field = type.getDeclaredField(name);
+      field.setAccessible(true);
+      return field.get(object);
+    } catch (ReflectiveOperationException e) {
+      throw new IllegalStateException("no field " + name + " in " + type.getName(), e);
+    }
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/HttpServers.java
@@ -0,0 +1,41 @@
+package io.kumquatspindle.entry.http;
+
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.ServerOptions;
+import io.jooby.StartupSummary;
+import io.jooby.netty.NettyServer;
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/** Starts Jooby applications on Netty. */
+final class HttpServers {
+  static {
+    // Jooby would otherwise close its listeners on SIGTERM before running requests have ended.
+    System.setProperty("jooby.useShutdownHook", "false");
+  }
+
+  private HttpServers() {}
+
+  static Jooby newApplication(String name) {
+    Jooby app = new Jooby();
+    app.setName(name);
+    app.setExecutionMode(ExecutionMode.EVENT_LOOP);
+    app.setStartupSummary(List.of(StartupSummary.NONE));
+    return app;
+  }
+
+  static NettyServer start(Jooby app, InetSocketAddress address, int maxBodyBytes) {
+    ServerOptions options = new ServerOptions();
+    options.setHost(address.getHostString());
+    options.setPort(address.getPort());
+    options.setMaxRequestSize(maxBodyBytes);
+    // A body larger than the buffer would be written to a temporary file.
+    options.setBufferSize(maxBodyBytes + 1);
+    options.setDefaultHeaders(false);
+    NettyServer server = new NettyServer();
+    server.setOptions(options);
+    server.start(app);
+    return server;
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/CallerAnswer.java
@@ -0,0 +1,59 @@
+package io.kumquatspindle.entry.request;
+
+import java.io.IOException;
+import java.util.Map;
+
+/** The HTTP answer to one request. Methods may be called on any thread. */
+public interface CallerAnswer {
+
+  /**
+   * Sends a whole answer.
+   *
+   * @param status HTTP status
+   * @param headers headers
+   * @param body the body
+   */
+  void whole(int status, Map<String, String> headers, byte[] body);
+
+  /**
+   * Starts an answer whose parts arrive one by one.
+   *
+   * @param status HTTP status
+   * @param headers headers
+   * @return where the parts go
+   */
+  Stream startStream(int status, Map<String, String> headers);
+
+  /**
+   * Subscribes to the caller closing its connection.
+   *
+   * @param listener called at most once, at once if the connection is closed already
+   */
+  void onGone(Runnable listener);
+
+  /**
+   * Tells that the request has ended. The connection takes the next one when the answer has been
+   * written.
+   *
+   * @param written called when the answer has been written or the connection is closed
+   */
+  void ended(Runnable written);
+
+  /** A streamed answer. */
+  interface Stream {
+
+    /**
+     * Writes a part and waits until the connection has taken it.
+     *
+     * @param part the part
+     * @throws IOException if the caller is gone or takes nothing for too long
+     */
+    void write(byte[] part) throws IOException;
+
+    /** Ends the answer. */
+    void end();
+
+    /** Ends the answer and closes the connection. */
+    void close();
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/CompletionBody.java
@@ -0,0 +1,82 @@
+package io.kumquatspindle.entry.request;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectReader;
+import io.kumquatspindle.api.json.Json;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/**
+ * The parts of a completion request that matter before an endpoint sees it.
+ *
+ * @param model name of the model or adapter
+ * @param streamed whether the caller wants server-sent events
+ * @param promptBytes size of the prompt in bytes
+ * @param maxTokens the most tokens of the answer, if the caller gave it
+ * @param tree the whole body
+ */
+record CompletionBody(
+    String model, boolean streamed, long promptBytes, Optional<Long> maxTokens, JsonNode tree) {
+
+  // With duplicate fields, an endpoint could read another model than the one checked here.
+  private static final ObjectReader READER =
+      Json.mapper()
+          .readerFor(JsonNode.class)
+          .with(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+          .with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
+  private static final long MAX_ANSWERS = 128;
+  private static final long MAX_TOKENS = 10_000_000;
+
+  // Throws IllegalArgumentException with a message for the caller.
+  static CompletionBody parse(byte[] body) {
+    JsonNode tree = read(body);
+    if (!tree.isObject() || !tree.path("model").isTextual()) {
+      throw new IllegalArgumentException("the body must be a JSON object with a text \"model\"");
+    }
+    JsonNode stream = tree.path("stream");
+    if (!stream.isMissingNode() && !stream.isNull() && !stream.isBoolean()) {
+      throw new IllegalArgumentException("\"stream\" must be true or false");
+    }
+    Optional<Long> max =
+        number(tree, "max_completion_tokens", MAX_TOKENS)
+            .or(() -> number(tree, "max_tokens", MAX_TOKENS));
+    long answers = number(tree, "n", MAX_ANSWERS).orElse(1L);
+    return new CompletionBody(
+        tree.path("model").textValue(),
+        stream.asBoolean(false),
+        size(tree.path("messages")) + size(tree.path("prompt")),
+        max.map(m -> m * answers),
+        tree);
+  }
+
+  private static JsonNode read(byte[] body) {
+    try {
+      return READER.readTree(body);
+    } catch (IOException e) {
+      throw new IllegalArgumentException("the body is not valid JSON", e);
+    }
+  }
+
+  private static Optional<Long> number(JsonNode tree, String field, long max) {
+    JsonNode node = tree.path(field);
+    if (node.isMissingNode() || node.isNull()) {
+      return Optional.empty();
+    }
+    if (!node.isIntegralNumber()
+        || !node.canConvertToLong()
+        || node.longValue() < 1
+        || node.longValue() > max) {
+      throw new IllegalArgumentException(
+          "\"" + field + "\" must be a whole number from 1 to " + max);
+    }
+    return Optional.of(node.longValue());
+  }
+
+  private static long size(JsonNode node) {
+    return node.isMissingNode() ? 0 : node.toString().getBytes(StandardCharsets.UTF_8).length;
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/FilterChain.java
@@ -0,0 +1,32 @@
+package io.kumquatspindle.entry.request;
+
+import com.google.common.flogger.FluentLogger;
+import io.kumquatspindle.api.error.ErrorKind;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Filters in their order. An exception in a filter answers the request as an internal error. */
+final class FilterChain {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final List<RequestFilter> filters;
+
+  FilterChain(List<RequestFilter> filters) {
+    this.filters = List.copyOf(filters);
+  }
+
+  void start(RequestContext context) {
+    next(0).accept(context);
+  }
+
+  private Consumer<RequestContext> next(int index) {
+    return context -> {
+      try {
+        filters.get(index).handle(context, next(index + 1));
+      } catch (RuntimeException e) {
+        logger.atSevere().withCause(e).log("request %s failed", context.requestId());
+        context.refuse(Refusal.of(ErrorKind.INTERNAL, "internal error"));
+      }
+    };
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/KeyScan.java
@@ -0,0 +1,81 @@
+package io.kumquatspindle.entry.request;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.kumquatspindle.api.json.Json;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Finds the caller's key in those parts of a request that an endpoint would get. */
+final class KeyScan {
+  private static final Set<String> FORWARDED_HEADERS = Set.of("content-type", "accept");
+
+  private KeyScan() {}
+
+  static boolean found(String key, IncomingRequest request, Optional<JsonNode> tree) {
+    String body = new String(request.body(), StandardCharsets.UTF_8);
+    return inText(key, request.path())
+        || inText(key, request.query())
+        || inText(key, body)
+        || FORWARDED_HEADERS.stream().anyMatch(h -> inText(key, request.headers().get(h)))
+        || tree.or(() -> escapedJson(request, body)).map(t -> inTree(key, t)).orElse(false);
+  }
+
+  private static boolean inText(String key, String text) {
+    if (text == null) {
+      return false;
+    }
+    return text.contains(key) || (text.indexOf('%') >= 0 && decoded(text).contains(key));
+  }
+
+  // Decodes what is valid and keeps the rest, as lenient endpoints do.
+  private static String decoded(String text) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream(text.length());
+    byte[] in = text.getBytes(StandardCharsets.UTF_8);
+    for (int i = 0; i < in.length; i++) {
+      int high = in[i] == '%' && i + 2 < in.length ? Character.digit(in[i + 1], 16) : -1;
+      int low = high >= 0 ? Character.digit(in[i + 2], 16) : -1;
+      if (low >= 0) {
+        out.write(high * 16 + low);
+        i += 2;
+      } else {
+        out.write(in[i]);
+      }
+    }
+    return out.toString(StandardCharsets.UTF_8);
+  }
+
+  // JSON text can hide a key behind escapes such as \u0041.
+  private static Optional<JsonNode> escapedJson(IncomingRequest request, String body) {
+    boolean json = request.header("content-type").map(t -> t.contains("json")).orElse(false);
+    if (!json || body.indexOf('\\') < 0) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.ofNullable(Json.mapper().readTree(body));
+    } catch (IOException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static boolean inTree(String key, JsonNode node) {
+    if (node.isTextual()) {
+      return node.textValue().contains(key);
+    }
+    for (Iterator<Map.Entry<String, JsonNode>> fields = node.fields(); fields.hasNext(); ) {
+      if (fields.next().getKey().contains(key)) {
+        return true;
+      }
+    }
+    for (JsonNode child : node) {
+      if (inTree(key, child)) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/QuotaFilter.java
@@ -0,0 +1,76 @@
+package io.kumquatspindle.entry.request;
+
+import io.kumquatspindle.api.config.CustomerSpec;
+import io.kumquatspindle.api.error.ErrorKind;
+import io.kumquatspindle.entry.control.KeyResult;
+import io.kumquatspindle.entry.control.TokenAccounts;
+import io.kumquatspindle.entry.observe.EntryMetrics;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+
+/** Takes the estimated tokens from the customer's account and settles the difference at the end. */
+final class QuotaFilter implements RequestFilter {
+  private final TokenAccounts accounts;
+  private final EntryMetrics metrics;
+  private final Executor executor;
+
+  QuotaFilter(TokenAccounts accounts, EntryMetrics metrics, Executor executor) {
+    this.accounts = accounts;
+    this.metrics = metrics;
+    this.executor = executor;
+  }
+
+  @Override
+  public void handle(RequestContext context, Consumer<RequestContext> next) {
+    Optional<CustomerSpec> customer = context.caller().map(KeyResult.Accepted::customer);
+    long tokens = estimate(context.target().orElseThrow());
+    if (customer.isEmpty() || tokens == 0) {
+      next.accept(context);
+      return;
+    }
+    if (tokens > customer.get().burstTokens()) {
+      String message =
+          "the request needs " + tokens + " tokens, the burst is " + customer.get().burstTokens();
+      context.refuse(Refusal.of(ErrorKind.OVER_BURST, message));
+      return;
+    }
+    take(context, customer.get(), tokens, next);
+  }
+
+  static long estimate(Target target) {
+    return target.fold(
+        c -> c.promptTokens() + c.maxTokens(), s -> s.spec().tokensPerCall(), l -> 0L);
+  }
+
+  private void take(
+      RequestContext context, CustomerSpec customer, long tokens, Consumer<RequestContext> next) {
+    var taken = accounts.take(customer.name(), tokens);
+    if (taken.isDone()) {
+      admit(context, customer, tokens, taken.join(), next);
+    } else {
+      taken.thenAcceptAsync(r -> admit(context, customer, tokens, r, next), executor);
+    }
+  }
+
+  private void admit(
+      RequestContext context,
+      CustomerSpec customer,
+      long tokens,
+      Optional<Long> retryAfterMs,
+      Consumer<RequestContext> next) {
+    if (retryAfterMs.isPresent()) {
+      String message = "the customer's rate is used up";
+      context.refuse(new Refusal(ErrorKind.OVER_RATE, message, retryAfterMs.get()));
+      return;
+    }
+    context.reply().onEnd(o -> settle(context, customer, tokens));
+    next.accept(context);
+  }
+
+  private void settle(RequestContext context, CustomerSpec customer, long reserved) {
+    long used = context.use().tokens();
+    accounts.settle(customer.name(), reserved - used);
+    metrics.tokensUsed(used);
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/Reply.java
@@ -0,0 +1,195 @@
+package io.kumquatspindle.entry.request;
+
+import io.kumquatspindle.api.model.Ran;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+
+/**
+ * The single reply to a request: the first answer or refusal wins, later ones have no effect. It
+ * also keeps a refusal from saying "not run" after an attempt that may have run.
+ */
+public final class Reply {
+  private enum State {
+    OPEN,
+    STREAMING,
+    ENDED
+  }
+
+  private final CallerAnswer answer;
+  private final String requestId;
+  private final AtomicReference<State> state = new AtomicReference<>(State.OPEN);
+  private final List<Consumer<Outcome>> listeners = new CopyOnWriteArrayList<>();
+  private final Runnable written;
+  private volatile boolean mayHaveRun;
+  private volatile CallerAnswer.Stream stream;
+
+  /**
+   * Creates an open reply.
+   *
+   * @param answer where it is sent
+   * @param requestId id of the request
+   * @param written called when the request has ended and its answer has been written
+   */
+  public Reply(CallerAnswer answer, String requestId, Runnable written) {
+    this.written = written;
+    this.answer = answer;
+    this.requestId = requestId;
+  }
+
+  /**
+   * Subscribes to the end of the request.
+   *
+   * @param listener called once, before the connection takes its next request
+   */
+  public void onEnd(Consumer<Outcome> listener) {
+    listeners.add(listener);
+  }
+
+  /**
+   * Subscribes to the caller closing its connection before the request has ended.
+   *
+   * @param listener called at most once
+   */
+  public void onGone(Runnable listener) {
+    answer.onGone(
+        () -> {
+          if (!isEnded()) {
+            listener.run();
+          }
+        });
+  }
+
+  /** Notes that an attempt may have run the request, so that no refusal denies it. */
+  public void markMayHaveRun() {
+    mayHaveRun = true;
+  }
+
+  /**
+   * Tells whether the request has ended.
+   *
+   * @return whether it has
+   */
+  public boolean isEnded() {
+    return state.get() == State.ENDED;
+  }
+
+  /**
+   * Answers with an endpoint's whole answer.
+   *
+   * @param status HTTP status
+   * @param headers headers
+   * @param body the body
+   * @return whether this was the first answer
+   */
+  public boolean answer(int status, Map<String, String> headers, byte[] body) {
+    if (!state.compareAndSet(State.OPEN, State.ENDED)) {
+      return false;
+    }
+    answer.whole(status, withId(headers), body);
+    finish(new Outcome(Outcome.OK, Ran.RAN, status));
+    return true;
+  }
+
+  /**
+   * Refuses the request, or ends a streamed answer with an error event and closes the connection.
+   *
+   * @param refusal why
+   * @return whether the request had not ended yet
+   */
+  public boolean refuse(Refusal refusal) {
+    Refusal truthful = mayHaveRun ? refusal.afterPossibleRun() : refusal;
+    if (state.compareAndSet(State.OPEN, State.ENDED)) {
+      byte[] body = ErrorBody.json(truthful, requestId);
+      answer.whole(truthful.kind().status(), withId(ErrorBody.headers(truthful)), body);
+      finish(outcome(truthful));
+      return true;
+    }
+    if (state.compareAndSet(State.STREAMING, State.ENDED)) {
+      breakStream(truthful.afterPossibleRun());
+      return true;
+    }
+    return false;
+  }
+
+  /**
+   * Starts a streamed answer.
+   *
+   * @param headers headers
+   * @return whether the request was still open
+   */
+  public boolean startStream(Map<String, String> headers) {
+    if (!state.compareAndSet(State.OPEN, State.STREAMING)) {
+      return false;
+    }
+    markMayHaveRun();
+    stream = answer.startStream(200, withId(headers));
+    return true;
+  }
+
+  /**
+   * Writes a part of a streamed answer and waits until the connection has taken it.
+   *
+   * @param part the part
+   * @throws IOException if the caller is gone or takes nothing for too long
+   */
+  public void write(byte[] part) throws IOException {
+    stream.write(part);
+  }
+
+  /** Ends a streamed answer that is complete. */
+  public void endStream() {
+    if (state.compareAndSet(State.STREAMING, State.ENDED)) {
+      stream.end();
+      finish(new Outcome(Outcome.OK, Ran.RAN, 200));
+    }
+  }
+
+  /** Ends a request whose caller is gone. */
+  public void callerLeft() {
+    Ran ran = mayHaveRun ? Ran.UNKNOWN : Ran.NOT_RUN;
+    if (state.getAndSet(State.ENDED) != State.ENDED) {
+      Optional.ofNullable(stream).ifPresent(CallerAnswer.Stream::close);
+      finish(new Outcome(Outcome.CALLER_LEFT, ran, 0));
+    }
+  }
+
+  private void breakStream(Refusal refusal) {
+    String json = new String(ErrorBody.json(refusal, requestId), StandardCharsets.UTF_8);
+    String event = "event: error\ndata: " + json + "\n\n";
+    try {
+      stream.write(event.getBytes(StandardCharsets.UTF_8));
+    } catch (IOException e) {
+      // The caller is gone or stalled; closing the connection is all that is left.
+    } finally {
+      stream.close();
+      finish(outcome(refusal));
+    }
+  }
+
+  private static Outcome outcome(Refusal refusal) {
+    String kind = refusal.kind().name().toLowerCase(Locale.ROOT);
+    return new Outcome(kind, refusal.kind().ran(), 0);
+  }
+
+  private Map<String, String> withId(Map<String, String> headers) {
+    Map<String, String> all = new TreeMap<>(headers);
+    all.put("X-Request-Id", requestId);
+    return all;
+  }
+
+  private void finish(Outcome outcome) {
+    try {
+      listeners.forEach(l -> l.accept(outcome));
+    } finally {
+      answer.ended(written);
+    }
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/RequestContext.java
@@ -0,0 +1,79 @@
+package io.kumquatspindle.entry.request;
+
+import io.kumquatspindle.entry.control.KeyResult;
+import io.opentelemetry.api.trace.Span;
+import java.util.Optional;
+
+/**
+ * What the filters know about a request. Each filter passes on a copy with what it found out.
+ *
+ * @param request the request
+ * @param requestId its id
+ * @param reply where its answer goes
+ * @param span its span
+ * @param route kind of the request by its path
+ * @param completion parsed body of a completion
+ * @param caller the accepted key; empty on an open route
+ * @param target what the request is for
+ * @param deadlineMs time by which the first byte of the answer must be there, in milliseconds
+ * @param use tokens that are reserved and used
+ */
+public record RequestContext(
+    IncomingRequest request,
+    String requestId,
+    Reply reply,
+    Span span,
+    Optional<Route> route,
+    Optional<CompletionBody> completion,
+    Optional<KeyResult.Accepted> caller,
+    Optional<Target> target,
+    long deadlineMs,
+    TokenUse use) {
+
+  static RequestContext start(
+      IncomingRequest request, String requestId, Reply reply, Span span, long deadlineMs) {
+    return new RequestContext(
+        request,
+        requestId,
+        reply,
+        span,
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        deadlineMs,
+        new TokenUse());
+  }
+
+  RequestContext withRoute(Route found, Optional<CompletionBody> body) {
+    Optional<Route> r = Optional.of(found);
+    return new RequestContext(
+        request, requestId, reply, span, r, body, caller, target, deadlineMs, use);
+  }
+
+  RequestContext withCaller(KeyResult.Accepted accepted) {
+    Optional<KeyResult.Accepted> c = Optional.of(accepted);
+    return new RequestContext(
+        request, requestId, reply, span, route, completion, c, target, deadlineMs, use);
+  }
+
+  RequestContext withTarget(Target found) {
+    Optional<Target> t = Optional.of(found);
+    return new RequestContext(
+        request, requestId, reply, span, route, completion, caller, t, deadlineMs, use);
+  }
+
+  RequestContext withDeadline(long ms) {
+    return new RequestContext(
+        request, requestId, reply, span, route, completion, caller, target, ms, use);
+  }
+
+  /**
+   * Refuses the request.
+   *
+   * @param refusal why
+   */
+  public void refuse(Refusal refusal) {
+    reply.refuse(refusal);
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/DispatchTests.java
@@ -0,0 +1,231 @@
+package io.kumquatspindle.entry;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("Dispatch")
+class DispatchTests {
+  private static final String NO_ENDPOINT_HERE = "http://127.0.0.1:1";
+
+  private ScriptedEndpoint endpoint;
+  private ScriptedEndpoint second;
+  private EntryFixture entry;
+
+  @BeforeEach
+  void start() throws IOException {
+    endpoint = new ScriptedEndpoint(r -> r.answer(200, "", "{}"));
+    second = new ScriptedEndpoint(r -> r.answer(200, "", "{\"from\":\"second\"}"));
+    entry = new EntryFixture();
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    entry.close();
+    endpoint.close();
+    second.close();
+  }
+
+  private static void assertError(HttpResponse<String> answer, int status, String ran) {
+    assertEquals(status, answer.statusCode(), answer.body());
+    assertTrue(answer.body().contains("\"ran\":\"" + ran + "\""), answer.body());
+  }
+
+  @Test
+  @DisplayName("relays a stream event by event and charges the tokens that it reports")
+  void relaysStream() throws Exception {
+    entry.serve(Map.of("e1", endpoint.url()));
+    endpoint.script(
+        r -> {
+          r.startStream();
+          r.event("{\"a\":1}");
+          r.event("{\"usage\":{\"total_tokens\":42}}");
+          r.endStream();
+        });
+    HttpResponse<String> answer = entry.send(entry.completion(true));
+    assertEquals(
+        "data: {\"a\":1}\n\ndata: {\"usage\":{\"total_tokens\":42}}\n\ndata: [DONE]\n\n",
+        answer.body());
+    await().atMost(5, TimeUnit.SECONDS).until(() -> entry.control.tokens() == 1_000_000 - 42);
+  }
+
+  @Test
+  @DisplayName("an answer to another request is discarded and never shown to the caller")
+  void discardsCrossedAnswer() throws Exception {
+    endpoint.script(r -> r.answerAs("other-1", 200, "", "{\"secret\":\"of another customer\"}"));
+    entry.serve(Map.of("e1", endpoint.url()));
+    assertError(entry.send(entry.completion(false)), 502, "unknown");
+    entry.serve(Map.of("e1", endpoint.url(), "e2", second.url()));
+    for (int i = 0; i < 3; i++) {
+      HttpResponse<String> answer = entry.send(entry.completion(false));
+      assertEquals("{\"from\":\"second\"}", answer.body());
+    }
+  }
+
+  @Test
+  @DisplayName("a stream that is cut half-way or lacks its end marker ends with an error event")
+  void reportsCutStream() throws Exception {
+    entry.serve(Map.of("e1", endpoint.url()));
+    endpoint.script(
+        r -> {
+          r.startStream();
+          r.event("{\"n\":1}");
+          r.socket().close();
+        });
+    assertBroken(entry.send(entry.completion(true)));
+    endpoint.script(
+        r -> {
+          r.startStream();
+          r.event("{\"n\":1}");
+          r.send("0\r\n\r\n");
+        });
+    assertBroken(entry.send(entry.completion(true)));
+  }
+
+  private static void assertBroken(HttpResponse<String> answer) {
+    assertTrue(answer.body().startsWith("data: {\"n\":1}\n\nevent: error\ndata: {\"error\":"));
+    assertTrue(answer.body().contains("\"code\":\"answer_incomplete\""), answer.body());
+  }
+
+  @Test
+  @DisplayName("a call that may not be repeated is sent once when the connection breaks after it")
+  void sendsNonRepeatableCallOnce() throws Exception {
+    entry.serve(Map.of("s1", endpoint.url(), "s2", endpoint.url()));
+    endpoint.script(r -> r.socket().close());
+    assertError(entry.send(entry.call("book")), 502, "unknown");
+    assertEquals(1, endpoint.received.size());
+  }
+
+  @Test
+  @DisplayName("the HTTP client does not send a call again by itself after 503 and Retry-After: 0")
+  void sendsOnceDespiteRetryAfter() throws Exception {
+    entry.serve(Map.of("s1", endpoint.url()));
+    endpoint.script(r -> r.answer(503, "Retry-After: 0\r\n", "busy"));
+    assertEquals(503, entry.send(entry.call("book")).statusCode());
+    assertEquals(503, entry.send(entry.request("/services/dispatch/x").GET()).statusCode());
+    assertEquals(2, endpoint.received.size());
+  }
+
+  @Test
+  @DisplayName("\"not run\" is said only if nothing was sent or the endpoint says so")
+  void saysNotRunOnlyWhenCertain() throws Exception {
+    entry.serve(Map.of("e1", NO_ENDPOINT_HERE, "s1", NO_ENDPOINT_HERE));
+    assertError(entry.send(entry.call("book")), 503, "not_run");
+    assertError(entry.send(entry.completion(false)), 503, "not_run");
+    entry.serve(Map.of("s1", endpoint.url()));
+    endpoint.script(r -> r.answer(503, "x-not-run: true\r\n", ""));
+    assertError(entry.send(entry.call("book")), 503, "not_run");
+    // The second attempt certainly did not run the request, but the first one may have.
+    ScriptedEndpoint.Script breakThenRefuse =
+        r -> {
+          if (r.id().endsWith("-1")) {
+            r.socket().close();
+          } else {
+            r.answer(503, "x-not-run: true\r\n", "");
+          }
+        };
+    endpoint.script(breakThenRefuse);
+    second.script(breakThenRefuse);
+    entry.serve(Map.of("e1", endpoint.url(), "e2", second.url()));
+    assertError(entry.send(entry.completion(false)), 502, "unknown");
+  }
+
+  @Test
+  @DisplayName("a call is sent to another endpoint if the first one certainly did not run it")
+  void retriesWhenNotRun() throws Exception {
+    endpoint.script(r -> r.answer(503, "x-not-run: true\r\n", ""));
+    entry.serve(Map.of("s1", endpoint.url(), "s2", second.url(), "s3", NO_ENDPOINT_HERE));
+    for (int i = 0; i < 4; i++) {
+      assertEquals("{\"from\":\"second\"}", entry.send(entry.call("book")).body());
+    }
+    assertEquals(4, second.received.size());
+  }
+
+  @Test
+  @DisplayName("the first byte is there by the deadline, or the caller is told that it may run")
+  void keepsDeadline() throws Exception {
+    entry.serve(Map.of("e1", endpoint.url()));
+    endpoint.script(r -> Thread.sleep(5_000));
+    long before = System.nanoTime();
+    HttpResponse<String> answer =
+        entry.send(entry.completion(true).header("X-Request-Timeout-Ms", "300"));
+    assertError(answer, 504, "unknown");
+    assertTrue(System.nanoTime() - before < 2_000_000_000L);
+  }
+
+  @Test
+  @DisplayName("a caller that leaves ends the call at the endpoint, before and within the answer")
+  void cancelsForGoneCaller() throws Exception {
+    entry.serve(Map.of("e1", endpoint.url()));
+    CountDownLatch cancelled = new CountDownLatch(2);
+    endpoint.script(
+        r -> {
+          if (r.body().contains("true")) {
+            r.startStream();
+            r.event("{\"n\":1}");
+          }
+          if (r.socket().getInputStream().read() < 0) {
+            cancelled.countDown();
+          }
+        });
+    for (boolean streamed : new boolean[] {true, false}) {
+      try (Socket caller = raw("POST /v1/completions", completionBody(streamed))) {
+        await().until(() -> endpoint.received.size() == (streamed ? 1 : 2));
+        assertTrue(!streamed || caller.getInputStream().read() >= 0);
+      }
+    }
+    assertTrue(cancelled.await(5, TimeUnit.SECONDS));
+  }
+
+  @Test
+  @DisplayName("pipelined requests get their answers in order, so that none is crossed")
+  void answersPipelinedRequestsInOrder() throws Exception {
+    entry.serve(Map.of("s1", endpoint.url()));
+    endpoint.script(
+        r -> {
+          Thread.sleep(r.body().equals("slow") ? 300 : 0);
+          r.answer(200, "", "<" + r.body() + ">");
+        });
+    try (Socket caller = raw("POST /services/dispatch/a", "slow")) {
+      caller.getOutputStream().write(bytes("POST /services/dispatch/b", "fast"));
+      InputStream in = caller.getInputStream();
+      StringBuilder text = new StringBuilder();
+      while (!text.toString().contains("<fast>")) {
+        text.append((char) in.read());
+      }
+      assertTrue(text.indexOf("<slow>") >= 0 && text.indexOf("<slow>") < text.indexOf("<fast>"));
+    }
+  }
+
+  private static String completionBody(boolean streamed) {
+    return "{\"model\":\"drafter\",\"stream\":" + streamed + "}";
+  }
+
+  private Socket raw(String line, String body) throws IOException {
+    Socket socket = new Socket("127.0.0.1", entry.program.callerPort());
+    OutputStream out = socket.getOutputStream();
+    out.write(bytes(line, body));
+    out.flush();
+    return socket;
+  }
+
+  private static byte[] bytes(String line, String body) {
+    String head = line + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + EntryFixture.KEY;
+    String all = head + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    return all.getBytes(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/control/ControlSessionTests.java
@@ -0,0 +1,125 @@
+package io.kumquatspindle.entry.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kumquatspindle.api.config.Configuration;
+import io.kumquatspindle.api.config.CustomerSpec;
+import io.kumquatspindle.api.config.KeySpec;
+import io.kumquatspindle.api.config.Limits;
+import io.kumquatspindle.api.error.ErrorKind;
+import io.kumquatspindle.api.message.EntryMessage;
+import io.kumquatspindle.api.message.EntryMessage.ConfigUpdate;
+import io.kumquatspindle.api.message.EntryMessage.EntryHello;
+import io.kumquatspindle.api.message.EntryMessage.Freshness;
+import io.kumquatspindle.api.message.EntryMessage.TokenGrant;
+import io.kumquatspindle.api.message.EntryMessage.TokenRequest;
+import io.kumquatspindle.api.message.EntryMessage.TokenReturn;
+import io.kumquatspindle.api.model.CustomerName;
+import io.kumquatspindle.api.model.KeyHash;
+import io.kumquatspindle.api.model.VmId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("ControlSession")
+class ControlSessionTests {
+  private static final CustomerName CUSTOMER = CustomerName.of("patrols");
+  private static final String KEY = "k-1";
+
+  private final List<EntryMessage> sent = new ArrayList<>();
+  private final Views views = Views.empty();
+  private long now = 1_000_000;
+  private final ControlSession session =
+      new ControlSession(new EntryHello(VmId.of("vm-1"), "i", 1), views, () -> now);
+
+  private static Configuration configuration(boolean withdrawn) {
+    KeyHash hash = KeyHash.ofKey(KEY);
+    return new Configuration(
+        1,
+        Map.of(),
+        Map.of(),
+        Map.of(CUSTOMER, new CustomerSpec(CUSTOMER, 1, 1, 1, 10, Set.of(), Set.of())),
+        Map.of(hash, new KeySpec(hash, CUSTOMER, withdrawn)),
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        Limits.NONE);
+  }
+
+  private Optional<ErrorKind> refusal() {
+    return views
+        .configuration()
+        .check(KEY, now)
+        .fold(a -> Optional.empty(), r -> Optional.of(r.kind()));
+  }
+
+  @Test
+  @DisplayName("a control that lags behind does not bring a withdrawn key back")
+  void ignoresOlderConfiguration() {
+    session.received(new ConfigUpdate(5, 0, configuration(true)));
+    session.received(new ConfigUpdate(4, 0, configuration(false)));
+    assertEquals(Optional.of(ErrorKind.KEY_WITHDRAWN), refusal());
+  }
+
+  @Test
+  @DisplayName("only a confirmation of the configuration held here prolongs the grace time")
+  void countsGraceFromLastConfirmation() {
+    assertEquals(Optional.of(ErrorKind.STALE_CONFIGURATION), refusal());
+    session.received(new ConfigUpdate(5, 4_000, configuration(false)));
+    now += 6_000;
+    assertEquals(Optional.empty(), refusal());
+    now += 1;
+    assertEquals(Optional.of(ErrorKind.STALE_CONFIGURATION), refusal());
+    session.received(new Freshness(6, 0));
+    assertEquals(Optional.of(ErrorKind.STALE_CONFIGURATION), refusal());
+    session.received(new Freshness(5, 0));
+    assertEquals(Optional.empty(), refusal());
+  }
+
+  @Test
+  @DisplayName("requests fail at once when control is gone, and those that wait when it goes")
+  void failsWithoutControl() {
+    assertTrue(session.askTokens(CUSTOMER, 1).isCompletedExceptionally());
+    session.connected(sent::add);
+    CompletableFuture<?> intent = session.recordIntent(CUSTOMER, "k", "d");
+    session.disconnected();
+    assertTrue(intent.isCompletedExceptionally());
+  }
+
+  @Test
+  @DisplayName("a grant that comes after the timeout counts once, and goes back when not needed")
+  void keepsLateGrant() throws Exception {
+    session.connected(sent::add);
+    TokenAccounts accounts = new TokenAccounts(session);
+    Optional<Long> refused = accounts.take(CUSTOMER, 10).get(2, TimeUnit.SECONDS);
+    assertTrue(refused.isPresent());
+    TokenRequest request = (TokenRequest) sent.get(1);
+    TokenGrant late = new TokenGrant(request.id(), CUSTOMER, 10, 0);
+    session.received(late);
+    session.received(late);
+    accounts.tick();
+    accounts.tick();
+    accounts.tick();
+    assertEquals(new TokenReturn(CUSTOMER, 10), sent.get(sent.size() - 1));
+  }
+
+  @Test
+  @DisplayName("tokens used in excess are reported to control as a debt")
+  void reportsDebt() {
+    session.connected(sent::add);
+    TokenAccounts accounts = new TokenAccounts(session);
+    accounts.settle(CUSTOMER, -7);
+    session.disconnected();
+    accounts.tick();
+    session.connected(sent::add);
+    accounts.tick();
+    assertEquals(new TokenReturn(CUSTOMER, -7), sent.get(sent.size() - 1));
+  }
+}
