Add stand-ins of the platform and of endpoints

Tests, the demo and measurements need a log service, a VM list, a weight store, model engines and plain services whose faults can be switched on.

--- /dev/null
+++ b/kumquatspindle-standins/src/main/java/io/kumquatspindle/standins/platform/VmListStandIn.java
@@ -0,0 +1,89 @@
+package io.kumquatspindle.standins.platform;
+
+import io.kumquatspindle.api.json.Json;
+import io.kumquatspindle.api.platform.ListedVm;
+import io.kumquatspindle.standins.http.Exchange;
+import io.kumquatspindle.standins.http.FaultSwitch;
+import io.kumquatspindle.standins.http.HttpHost;
+import io.kumquatspindle.standins.http.StandIn;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+
+/** The platform's list of VMs: {@code PUT /vms} replaces it, {@code GET /vms} shows it later. */
+public final class VmListStandIn implements StandIn {
+  private final HttpHost host;
+  private final FaultSwitch<PlatformFaults> faults;
+  private final Deque<Version> versions = new ArrayDeque<>();
+  private Duration lag;
+
+  /**
+   * Creates a list.
+   *
+   * @param host gives the timers
+   * @param lag time from a change until readers see it
+   * @param vms the list at the start, seen at once
+   */
+  public VmListStandIn(HttpHost host, Duration lag, List<ListedVm> vms) {
+    this.host = host;
+    this.faults = new FaultSwitch<>(host, PlatformFaults.class, PlatformFaults.NONE);
+    this.lag = lag;
+    versions.add(new Version(System.nanoTime(), List.copyOf(vms)));
+  }
+
+  @Override
+  public void handle(Exchange x) throws IOException {
+    if (faults.handle(x, this::setLag)) {
+      return;
+    }
+    if (x.is("PUT", "/vms")) {
+      replace(Arrays.asList(Json.strictMapper().readValue(x.body(), ListedVm[].class)));
+      x.reply(200, Map.of());
+    } else if (x.is("GET", "/vms")) {
+      read(x, faults.take(f -> true));
+    } else {
+      x.reply(404, Map.of("error", "no such path"));
+    }
+  }
+
+  private void read(Exchange x, PlatformFaults f) {
+    if (f.hang()) {
+      return;
+    }
+    if (f.out()) {
+      x.reply(503, Map.of("error", "VM list is out"));
+    } else {
+      host.timers().after(Duration.ofMillis(f.slowMs()), () -> x.reply(200, visible()));
+    }
+  }
+
+  private synchronized void setLag(PlatformFaults f) {
+    if (f.lagMs() > 0) {
+      lag = Duration.ofMillis(f.lagMs());
+    }
+  }
+
+  private synchronized void replace(List<ListedVm> vms) {
+    versions.addLast(new Version(System.nanoTime() + lag.toNanos(), vms));
+  }
+
+  private synchronized List<ListedVm> visible() {
+    long now = System.nanoTime();
+    Version newest = versions.getFirst();
+    for (Version v : versions) {
+      if (v.visibleFrom - now <= 0) {
+        newest = v;
+      }
+    }
+    while (versions.getFirst() != newest) {
+      versions.removeFirst();
+    }
+    return newest.vms;
+  }
+
+  private record Version(long visibleFrom, List<ListedVm> vms) {}
+}
--- /dev/null
+++ b/kumquatspindle-standins/src/main/java/io/kumquatspindle/standins/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins of the platform: log service, VM list and weight store. */
+package io.kumquatspindle.standins.platform;
