--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlProgram.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlProgram.java
@@ -105,7 +105,9 @@
     peers = new PeerNetwork(runtime, hello(), listener, clock, timers);
     configuration = new ConfigurationController(clock);
     placement = newPlacement();
-    quota = new QuotaDuty(s.vm(), s.failureDomain(), incarnation, appender(StreamName.SHARES), peers, clock);
+    quota =
+        new QuotaDuty(
+            s.vm(), s.failureDomain(), incarnation, appender(StreamName.SHARES), peers, clock);
     intents =
         new IntentController(
             s.vm(),
@@ -310,8 +312,7 @@
   private MetricRegistry metrics() {
     MetricRegistry m = new MetricRegistry();
     Runtime jvm = Runtime.getRuntime();
-    m.register(
-        "jvm_heap_used_bytes", (Gauge<Long>) () -> jvm.totalMemory() - jvm.freeMemory());
+    m.register("jvm_heap_used_bytes", (Gauge<Long>) () -> jvm.totalMemory() - jvm.freeMemory());
     m.register("configuration_number", (Gauge<Long>) this::number);
     m.register("configuration_confirmed_ago_ms", (Gauge<Long>) configuration::confirmedAgoMs);
     m.register("entries_connected", (Gauge<Integer>) entries::size);
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/admin/AdminServer.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/admin/AdminServer.java
@@ -55,8 +55,7 @@
     app.get("/status", ctx -> ctx.setResponseType(JSON).send(json(pages.status())));
     app.get(
         "/explain",
-        ctx ->
-            ctx.setResponseType(JSON).send(json(pages.explain(ctx.query("model").value("")))));
+        ctx -> ctx.setResponseType(JSON).send(json(pages.explain(ctx.query("model").value("")))));
     server.start(app);
   }
 
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/intent/IntentController.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/intent/IntentController.java
@@ -146,8 +146,7 @@
   private void requested(IntentEvent.Requested r) {
     IntentRequest q = r.request();
     String nonce = UUID.randomUUID().toString();
-    PendingIntent p =
-        new PendingIntent(nonce, q, clock.nowMs() + ANSWER_LIMIT_MS, r.reply());
+    PendingIntent p = new PendingIntent(nonce, q, clock.nowMs() + ANSWER_LIMIT_MS, r.reply());
     // A key that is already held needs no record; the answer is the same at every VM.
     Optional<IntentFold.Answer> held = answer(p);
     if (held.isPresent() && held.get().ran() != Ran.UNKNOWN) {
@@ -206,8 +205,7 @@
 
   private static void reply(PendingIntent p, IntentFold.Answer a) {
     p.reply()
-        .accept(
-            new IntentReply(p.request().id(), a.verdict(), p.nonce(), a.ran(), a.status()));
+        .accept(new IntentReply(p.request().id(), a.verdict(), p.nonce(), a.ran(), a.status()));
   }
 
   private void appended(IntentEvent.Appended a) {
@@ -228,9 +226,7 @@
   private void expire() {
     long now = clock.nowMs();
     List<String> late = new ArrayList<>();
-    pending.values().stream()
-        .filter(p -> p.deadlineMs() <= now)
-        .forEach(p -> late.add(p.nonce()));
+    pending.values().stream().filter(p -> p.deadlineMs() <= now).forEach(p -> late.add(p.nonce()));
     for (String nonce : late) {
       PendingIntent p = pending.get(nonce);
       giveUp(nonce);
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/quota/QuotaDuty.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/quota/QuotaDuty.java
@@ -20,7 +20,13 @@
 
 /** Stub. */
 public final class QuotaDuty implements TokenDesk, StreamOwner {
-  public QuotaDuty(VmId vm, FailureDomain d, String incarnation, LogAppender a, PeerNetwork p, MonotonicClock c) {}
+  public QuotaDuty(
+      VmId vm,
+      FailureDomain d,
+      String incarnation,
+      LogAppender a,
+      PeerNetwork p,
+      MonotonicClock c) {}
 
   public void inForce(ConfigurationState s) {}
 
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/router/WantedRouter.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/router/WantedRouter.java
@@ -34,10 +34,7 @@
    * @param placement decides here
    */
   public WantedRouter(
-      VmId vm,
-      MembershipController membership,
-      PeerNetwork peers,
-      PlacementController placement) {
+      VmId vm, MembershipController membership, PeerNetwork peers, PlacementController placement) {
     this.vm = vm;
     this.members = membership::view;
     this.peers = peers;
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/membership/Membership.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/membership/Membership.java
@@ -180,8 +180,7 @@
     // Kept for a while, since messages from peers may still show the VM as alive.
     entries
         .values()
-        .removeIf(
-            e -> e.member.state() == MemberState.GONE && now - e.stateSinceMs > GONE_KEPT_MS);
+        .removeIf(e -> e.member.state() == MemberState.GONE && now - e.stateSinceMs > GONE_KEPT_MS);
     return gone;
   }
 
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntryProgram.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntryProgram.java
@@ -6,6 +6,7 @@
 import io.kumquatspindle.api.time.SystemTimerService;
 import io.kumquatspindle.api.time.TimerService;
 import io.kumquatspindle.engine.routing.LeastLoadedChooser;
+import io.kumquatspindle.entry.control.ControlConnector;
 import io.kumquatspindle.entry.control.ControlSession;
 import io.kumquatspindle.entry.control.ReplicaUses;
 import io.kumquatspindle.entry.control.TokenAccounts;
@@ -21,6 +22,7 @@
 import io.kumquatspindle.entry.request.ModelWaitRoom;
 import io.kumquatspindle.entry.request.RequestEnvironment;
 import io.kumquatspindle.entry.request.RequestHandler;
+import io.kumquatspindle.transport.link.LinkRuntime;
 import java.time.Duration;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
@@ -31,6 +33,7 @@
 public final class EntryProgram {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int WORKERS = 4;
+  private static final int LINK_THREADS = 1;
   private static final Duration USE_PERIOD = Duration.ofSeconds(1);
   private static final Duration ABORT_LIMIT = Duration.ofSeconds(1);
   private static final long POLL_MS = 20;
@@ -51,6 +54,8 @@
   private final RequestHandler handler;
   private final CallerServer callerServer;
   private final AdminServer adminServer;
+  private final LinkRuntime links = LinkRuntime.start(LINK_THREADS, "entry-link");
+  private final ControlConnector connector;
   private volatile boolean stopping;
 
   private EntryProgram(EntrySettings settings) {
@@ -76,6 +81,8 @@
     int bodyBytes = settings.limits().bodyBytes();
     callerServer = CallerServer.start(settings.callers(), bodyBytes, handler, clock);
     adminServer = AdminServer.start(settings.admin(), this::isReady, metrics);
+    connector = new ControlConnector(links, settings.control(), session, clock);
+    timers.every(Duration.ofMillis(ControlConnector.TICK_MS), connector::tick);
   }
 
   /**
@@ -149,6 +156,8 @@
   }
 
   private void close() throws InterruptedException {
+    connector.close();
+    links.close();
     callerServer.close();
     adminServer.close();
     client.close();
--- /dev/null
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/ControlConnector.java
@@ -0,0 +1,146 @@
+package io.kumquatspindle.entry.control;
+
+import com.google.common.flogger.FluentLogger;
+import io.kumquatspindle.api.message.EntryMessage;
+import io.kumquatspindle.api.message.Envelope;
+import io.kumquatspindle.api.time.MonotonicClock;
+import io.kumquatspindle.transport.link.Link;
+import io.kumquatspindle.transport.link.LinkClient;
+import io.kumquatspindle.transport.link.LinkListener;
+import io.kumquatspindle.transport.link.LinkRuntime;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Keeps a session connected to a control program: the local one while it answers, otherwise another
+ * one of the failure domain.
+ */
+public final class ControlConnector implements AutoCloseable {
+  /** Period of {@link #tick}, in milliseconds. */
+  public static final long TICK_MS = 250;
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private static final Duration HEARTBEAT = Duration.ofMillis(500);
+  private static final Duration SILENCE_LIMIT = Duration.ofMillis(1_500);
+  private static final long SWITCH_AFTER_MS = 2_000;
+  private static final int LOCAL = 0;
+
+  private final LinkRuntime runtime;
+  private final List<InetSocketAddress> addresses;
+  private final ControlSession session;
+  private final MonotonicClock clock;
+  private final LinkClient local;
+  private Optional<LinkClient> other = Optional.empty();
+  private int otherIndex = LOCAL;
+  private Optional<Link> used = Optional.empty();
+  private long connectedAtMs;
+  private boolean closed;
+
+  /**
+   * Creates a connector and starts to connect to the local control program.
+   *
+   * @param runtime I/O threads
+   * @param addresses IP addresses and ports of control programs, the local one first
+   * @param session the session
+   * @param clock the clock
+   */
+  public ControlConnector(
+      LinkRuntime runtime,
+      List<InetSocketAddress> addresses,
+      ControlSession session,
+      MonotonicClock clock) {
+    this.runtime = runtime;
+    this.addresses = List.copyOf(addresses);
+    this.session = session;
+    this.clock = clock;
+    this.connectedAtMs = clock.nowMs();
+    this.local = connect(LOCAL);
+  }
+
+  /** Looks for another control program once none has been connected for 2 s. */
+  public synchronized void tick() {
+    long now = clock.nowMs();
+    if (closed || used.isPresent()) {
+      connectedAtMs = now;
+      return;
+    }
+    if (now - connectedAtMs >= SWITCH_AFTER_MS && addresses.size() > 1) {
+      connectedAtMs = now;
+      closeOther();
+      otherIndex = otherIndex % (addresses.size() - 1) + 1;
+      logger.atWarning().log("local control is away, trying %s", addresses.get(otherIndex));
+      other = Optional.of(connect(otherIndex));
+    }
+  }
+
+  private LinkClient connect(int index) {
+    return LinkClient.builder(runtime, new Listener(index == LOCAL))
+        .address(addresses.get(index))
+        .heartbeat(HEARTBEAT)
+        .silenceLimit(SILENCE_LIMIT)
+        .start();
+  }
+
+  private void closeOther() {
+    other.ifPresent(LinkClient::close);
+    other = Optional.empty();
+  }
+
+  private synchronized void opened(Link link, boolean isLocal) {
+    if (closed || (used.isPresent() && !isLocal)) {
+      return;
+    }
+    used = Optional.of(link);
+    session.connected(link::send);
+    if (isLocal) {
+      closeOther();
+    }
+  }
+
+  private synchronized void lost(Link link, String reason) {
+    if (used.isPresent() && used.get() == link) {
+      logger.atWarning().log("connection to control lost: %s", reason);
+      used = Optional.empty();
+      session.disconnected();
+    }
+  }
+
+  private synchronized boolean isUsed(Link link) {
+    return used.isPresent() && used.get() == link;
+  }
+
+  @Override
+  public synchronized void close() {
+    closed = true;
+    local.close();
+    closeOther();
+  }
+
+  private final class Listener implements LinkListener {
+    private final boolean isLocal;
+
+    private Listener(boolean isLocal) {
+      this.isLocal = isLocal;
+    }
+
+    @Override
+    public void opened(Link link) {
+      ControlConnector.this.opened(link, isLocal);
+    }
+
+    @Override
+    public void received(Link link, Envelope envelope) {
+      if (isUsed(link) && envelope.body() instanceof EntryMessage m) {
+        session.received(m);
+      }
+    }
+
+    @Override
+    public void closed(Link link, String reason) {
+      lost(link, reason);
+    }
+  }
+}
--- a/kumquatspindle-transport/src/test/java/io/kumquatspindle/transport/codec/SampleMessages.java
+++ b/kumquatspindle-transport/src/test/java/io/kumquatspindle/transport/codec/SampleMessages.java
@@ -73,13 +73,14 @@
         new EntryMessage.IntentOutcome(CUSTOMER, "idem", "n", Ran.UNKNOWN, 0),
         new EntryMessage.ModelUse(List.of(use)),
         new PeerMessage.PeerHello(VM, DOMAIN, "127.0.0.1:7101", "i-8", 1),
-        new PeerMessage.Gossip(12, 40, List.of(member), List.of(report)),
-        new PeerMessage.GossipReply(12, 40, List.of(member), List.of()),
+        new PeerMessage.Gossip(
+            12, 40, List.of(member), List.of(new PeerMessage.AgedReport(70, report)), 6, 2),
+        new PeerMessage.GossipReply(12, 40, List.of(member), List.of(), 6, 2),
         new PeerMessage.RecordsRequest("tickets", 12),
         new PeerMessage.Records(
             "tickets", 4, List.of(new LogRecord(12, 1_700_000_000_000L, new byte[] {1, -1}))),
-        new PeerMessage.SnapshotRequest(),
-        new PeerMessage.Snapshot(12, configuration()),
+        new PeerMessage.SnapshotRequest("tickets"),
+        new PeerMessage.Snapshot("tickets", 12, new byte[] {123, 125}),
         new PeerMessage.TransferRequest(5, CUSTOMER, 100),
         new PeerMessage.Transfer(5, CUSTOMER, 100));
   }
