Add the bench: test sites, demo and speed measurement

System tests and the demo need the real programs in processes of their own. ManagedProcess starts them and never leaves one behind: a shutdown hook covers regular ends, and a shell that waits on a pipe covers SIGKILL of the bench. TestSite generates the settings of a site with free loopback ports. Relays cut, silence or delay links, for all connections or for those of some VMs, which a relay recognizes by the VM id in the first frame.

The speed command sends to entry and to the stand-in in turn, in an open loop, and counts each time from when the request was due.

--- /dev/null
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/demo/Demo.java
@@ -0,0 +1,185 @@
+package io.kumquatspindle.bench.demo;
+
+import io.kumquatspindle.api.config.ModelSpec;
+import io.kumquatspindle.api.config.Ticket;
+import io.kumquatspindle.api.json.Json;
+import io.kumquatspindle.api.model.ArtifactName;
+import io.kumquatspindle.bench.caller.Caller;
+import io.kumquatspindle.bench.caller.ChatReply;
+import io.kumquatspindle.bench.caller.ChatRequest;
+import io.kumquatspindle.bench.demo.Steps.Outcome;
+import io.kumquatspindle.bench.processes.BuildTree;
+import io.kumquatspindle.bench.processes.SiteVm;
+import io.kumquatspindle.bench.processes.TestSite;
+import io.kumquatspindle.bench.tickets.OperatorCommand;
+import io.kumquatspindle.bench.tickets.SiteTickets;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.URI;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+
+/** The demo itself. */
+final class Demo {
+  private static final String MODEL = "gas-notice-7b";
+  private static final long MODEL_MB = 2_000;
+  private static final int ANSWER_TOKENS = 8;
+  private static final Duration IN_FORCE_TIMEOUT = Duration.ofSeconds(10);
+  private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(60);
+  private static final Duration LEFT_TIMEOUT = Duration.ofSeconds(3);
+  private static final Duration POLL = Duration.ofMillis(20);
+
+  private final BuildTree tree;
+  private final Path directory;
+  private final Steps steps;
+  private final String key = "demo-key-" + UUID.randomUUID();
+  private TestSite site;
+  private OperatorCommand operator;
+
+  Demo(BuildTree tree, Path directory, PrintStream out) {
+    this.tree = tree;
+    this.directory = directory;
+    this.steps = new Steps(out);
+  }
+
+  /** Runs all steps; returns whether all succeeded. */
+  boolean run() {
+    try (Caller caller = new Caller(REQUEST_TIMEOUT)) {
+      if (steps.run("start 2 failure domains with 1 VM each", this::startSite)) {
+        use(caller);
+        steps.run("stop all by SIGTERM, every process exits with 0", this::stopSite);
+      }
+    } finally {
+      if (site != null) {
+        site.close();
+        steps.run("no process is left", this::nothingLeft);
+      }
+    }
+    return steps.summarize();
+  }
+
+  private void use(Caller caller) {
+    SiteVm first = site.vms().get(0);
+    SiteVm second = site.vms().get(1);
+    ModelSpec model = new ModelSpec(ArtifactName.of(MODEL), MODEL_MB, 1);
+    Ticket ticket = SiteTickets.first(site, key, List.of(model));
+    if (!steps.run("file ticket 1", () -> file(ticket))
+        || !steps.run("ticket 1 is in force on every VM", () -> awaitStatus(caller, 200))) {
+      return;
+    }
+    steps.run("streamed request to the cold model", () -> ask(caller, first, "first closure"));
+    steps.run("streamed request to the warm model", () -> ask(caller, first, "second closure"));
+    steps.run("the same through the other VM", () -> ask(caller, second, "third closure"));
+    steps.run("no engine saw the caller's key", () -> keyUnseen(caller));
+    steps.run("no engine counted a violation", () -> noViolations(caller));
+    if (steps.run("withdraw the key by ticket 2", () -> file(SiteTickets.withdrawKey(2, key)))) {
+      steps.run("the key is refused on every VM", () -> awaitStatus(caller, 401));
+    }
+  }
+
+  private Outcome startSite() throws IOException {
+    site =
+        TestSite.builder(tree, directory)
+            .domains("domain-a", "domain-b")
+            .endpoints(2, 1)
+            .standIns("engines.first_token_ms", 50)
+            .standIns("store.megabytes_per_second", 1000)
+            .start();
+    operator = new OperatorCommand(tree, site);
+    return Outcome.ok("2 entries, 2 controls, 1 process of stand-ins");
+  }
+
+  private Outcome file(Ticket ticket) throws IOException {
+    OperatorCommand.Result r = operator.file(ticket);
+    return Outcome.of(r.succeeded(), r.succeeded() ? "" : r.status() + " " + r.output());
+  }
+
+  /** Waits until the list of models answers the key with a status on every VM. */
+  private Outcome awaitStatus(Caller caller, int status) throws IOException {
+    long start = System.nanoTime();
+    for (SiteVm vm : site.vms()) {
+      URI page = vm.callers().resolve("/v1/models");
+      int last = caller.get(page, Optional.of(key)).status();
+      while (last != status) {
+        if (System.nanoTime() - start > IN_FORCE_TIMEOUT.toNanos()) {
+          return Outcome.failed(vm.id() + " still answers " + last);
+        }
+        sleep();
+        last = caller.get(page, Optional.of(key)).status();
+      }
+    }
+    return Outcome.ok("after " + millisSince(start) + " ms");
+  }
+
+  private Outcome ask(Caller caller, SiteVm vm, String prompt) throws IOException {
+    ChatRequest request = new ChatRequest(MODEL, prompt, ANSWER_TOKENS);
+    long start = System.nanoTime();
+    ChatReply reply = caller.send(vm.callers(), Optional.of(key), request);
+    if (!reply.answers(request)) {
+      return Outcome.failed(reply.toString());
+    }
+    long ms = TimeUnit.NANOSECONDS.toMillis(reply.firstTokenNanos() - start);
+    return Outcome.ok("first token after " + ms + " ms, whole answer to this request");
+  }
+
+  private Outcome keyUnseen(Caller caller) throws IOException {
+    for (String engine : site.engines()) {
+      if (caller.get(site.url(engine).resolve("/history"), Optional.empty()).body().contains(key)) {
+        return Outcome.failed("seen by " + engine);
+      }
+    }
+    return Outcome.ok("");
+  }
+
+  private Outcome noViolations(Caller caller) throws IOException {
+    for (String engine : site.engines()) {
+      String stats = caller.get(site.url(engine).resolve("/stats"), Optional.empty()).body();
+      for (var v : Json.mapper().readTree(stats).path("violations")) {
+        if (v.asLong() != 0) {
+          return Outcome.failed(engine + " " + stats);
+        }
+      }
+    }
+    return Outcome.ok("");
+  }
+
+  private Outcome stopSite() {
+    Map<String, OptionalInt> ended = site.stop();
+    boolean allZero = ended.values().stream().allMatch(s -> s.equals(OptionalInt.of(0)));
+    return Outcome.of(allZero, allZero ? ended.size() + " processes" : ended.toString());
+  }
+
+  private Outcome nothingLeft() throws IOException {
+    long start = System.nanoTime();
+    List<ProcessHandle> left = left();
+    // The shells that watch over the processes end shortly after them.
+    while (!left.isEmpty() && System.nanoTime() - start < LEFT_TIMEOUT.toNanos()) {
+      sleep();
+      left = left();
+    }
+    return Outcome.of(left.isEmpty(), left.isEmpty() ? "" : left.toString());
+  }
+
+  private static List<ProcessHandle> left() {
+    return ProcessHandle.current().descendants().filter(ProcessHandle::isAlive).toList();
+  }
+
+  private static long millisSince(long start) {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+  }
+
+  private static void sleep() throws IOException {
+    try {
+      Thread.sleep(POLL.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted", e);
+    }
+  }
+}
--- /dev/null
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/processes/package-info.java
@@ -0,0 +1,2 @@
+/** Starts and stops the programs of a test site, and disturbs the links between them. */
+package io.kumquatspindle.bench.processes;
--- /dev/null
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/speed/SpeedReport.java
@@ -0,0 +1,89 @@
+package io.kumquatspindle.bench.speed;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * The result of a speed run, as written to the result file.
+ *
+ * @param processors processors that the Java virtual machine sees
+ * @param engineFirstTokenMs first-token time that the engine stand-in was set to
+ * @param answerTokens tokens of each answer
+ * @param heapAtRest heap of the entry process without load
+ * @param runs one entry for each rate
+ */
+record SpeedReport(
+    int processors,
+    int engineFirstTokenMs,
+    int answerTokens,
+    HeapGauge.Heap heapAtRest,
+    List<Run> runs) {
+
+  /**
+   * Results at one rate.
+   *
+   * @param requestsPerSecond rate of each target
+   * @param seconds measured time
+   * @param entry requests through entry
+   * @param direct the same requests straight to the engine stand-in
+   * @param heapUnderLoad heap of the entry process during the run
+   */
+  record Run(
+      int requestsPerSecond,
+      long seconds,
+      TargetResult.Summary entry,
+      TargetResult.Summary direct,
+      HeapGauge.Heap heapUnderLoad) {
+
+    boolean withoutFailure() {
+      return entry.failed() == 0 && direct.failed() == 0 && entry.answered() > 0;
+    }
+  }
+
+  void print(PrintStream out) {
+    for (Run r : runs) {
+      out.printf(
+          Locale.ROOT,
+          "%d requests/s each for %d s: entry %d answered, %d failed; direct %d answered,"
+              + " %d failed%n",
+          r.requestsPerSecond,
+          r.seconds,
+          r.entry.answered(),
+          r.entry.failed(),
+          r.direct.answered(),
+          r.direct.failed());
+      TargetResult.Times ef = r.entry.firstTokenMicros();
+      TargetResult.Times df = r.direct.firstTokenMicros();
+      TargetResult.Times ew = r.entry.wholeMicros();
+      TargetResult.Times dw = r.direct.wholeMicros();
+      printLine(out, "first token p50", ef.p50(), df.p50());
+      printLine(out, "first token p99", ef.p99(), df.p99());
+      printLine(out, "whole answer p50", ew.p50(), dw.p50());
+      printLine(out, "whole answer p99", ew.p99(), dw.p99());
+      printHeap(out, "under load", r.heapUnderLoad);
+    }
+    printHeap(out, "at rest", heapAtRest);
+  }
+
+  private static void printLine(PrintStream out, String what, long entry, long direct) {
+    out.printf(
+        Locale.ROOT,
+        "  %-17s entry %8.3f ms  direct %8.3f ms  difference %8.3f ms  ratio %6.2f%n",
+        what,
+        entry / 1000.0,
+        direct / 1000.0,
+        (entry - direct) / 1000.0,
+        direct == 0 ? Double.NaN : (double) entry / direct);
+  }
+
+  private static void printHeap(PrintStream out, String when, HeapGauge.Heap h) {
+    out.printf(
+        Locale.ROOT,
+        "  entry heap in use %s: %.1f to %.1f MB (%d samples)%n",
+        when,
+        h.min() / 1e6,
+        h.max() / 1e6,
+        h.samples());
+  }
+}
--- /dev/null
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/speed/package-info.java
@@ -0,0 +1,2 @@
+/** Measures what the system adds to the time of a request. */
+package io.kumquatspindle.bench.speed;
--- /dev/null
+++ b/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/processes/ManagedProcessTests.java
@@ -0,0 +1,98 @@
+package io.kumquatspindle.bench.processes;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.OptionalInt;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+@DisplayName("Managed process")
+class ManagedProcessTests {
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+  @TempDir Path dir;
+
+  private ManagedProcess standIns() throws IOException {
+    Path settings = dir.resolve("s.ini");
+    Files.writeString(settings, "[log]\nlisten = 127.0.0.1:0\n");
+    ManagedProcess p =
+        ManagedProcess.builder("standins", dir)
+            .jar(BuildTree.own().jar("kumquatspindle-standins"), 128)
+            .args("--settings", settings.toString())
+            .readiness(Readiness.line("\"ready\":true"))
+            .start();
+    p.awaitReady(TIMEOUT);
+    return p;
+  }
+
+  @Test
+  @DisplayName("starts the stand-ins, which exit with 0 on SIGTERM")
+  void startsAndTerminates() throws Exception {
+    try (ManagedProcess p = standIns()) {
+      p.terminate();
+      assertEquals(OptionalInt.of(0), p.awaitExit(TIMEOUT));
+    }
+  }
+
+  @Test
+  @DisplayName("pauses a process, which answers again once it is resumed")
+  void pausesAndResumes() throws Exception {
+    try (ManagedProcess p = standIns()) {
+      int port = ReadyLine.ports(Files.readString(p.output())).get("log");
+      Readiness page = Readiness.page(URI.create("http://127.0.0.1:" + port + "/stats"));
+      assertTrue(page.check(p));
+      p.pause();
+      assertFalse(page.check(p));
+      p.resume();
+      assertTrue(page.check(p));
+    }
+  }
+
+  @Test
+  @DisplayName("kills a paused process, which SIGTERM would not end")
+  void killsPaused() throws Exception {
+    ManagedProcess p = ManagedProcess.builder("sleep", dir).args("sleep", "300").start();
+    p.pause();
+    p.close();
+    assertFalse(p.isAlive());
+  }
+
+  @Test
+  @DisplayName("reports a program that ends before it is ready, with its error output")
+  void reportsEarlyEnd() throws Exception {
+    ManagedProcess p =
+        ManagedProcess.builder("fails", dir)
+            .args("sh", "-c", "echo reason >&2; exit 3")
+            .readiness(Readiness.line("ready"))
+            .start();
+    IOException e = assertThrows(IOException.class, () -> p.awaitReady(TIMEOUT));
+    assertTrue(e.getMessage().contains("ended with 3: reason"), e.getMessage());
+  }
+
+  @Test
+  @DisplayName("leaves no process behind when the bench is killed with SIGKILL")
+  void endsWithTheBench() throws Exception {
+    String classPath =
+        System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+    String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    String main = BenchThatIsKilled.class.getName();
+    Process bench = new ProcessBuilder(java, "-cp", classPath, main, dir.toString()).start();
+    BufferedReader out = bench.inputReader(StandardCharsets.UTF_8);
+    ProcessHandle child = ProcessHandle.of(Long.parseLong(out.readLine())).orElseThrow();
+    assertTrue(child.isAlive());
+    bench.destroyForcibly();
+    Awaitility.await().until(() -> !child.isAlive());
+  }
+}
--- /dev/null
+++ b/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/speed/OpenLoopTests.java
@@ -0,0 +1,134 @@
+package io.kumquatspindle.bench.speed;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kumquatspindle.bench.caller.Caller;
+import io.kumquatspindle.bench.caller.ChatRequest;
+import io.kumquatspindle.bench.processes.BuildTree;
+import io.kumquatspindle.bench.processes.TestSite;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+@DisplayName("Open loop")
+class OpenLoopTests {
+  private static final ChatRequest REQUEST = new ChatRequest("m", "hello", 3);
+
+  @TempDir Path dir;
+  private TestSite site;
+  private Caller caller;
+
+  @BeforeEach
+  void start() throws Exception {
+    site =
+        TestSite.builder(BuildTree.own(), dir)
+            .vmsPerDomain(0)
+            .endpoints(2, 0)
+            .standIns("engines.first_token_ms", 5)
+            .standIns("engines.per_token_ms", 1)
+            .standIns("engines.in_memory", "m")
+            .standIns("engines.capacity", 1000)
+            .start();
+    caller = new Caller(Duration.ofSeconds(10));
+    for (String engine : site.engines()) {
+      post(engine, "/orders/load", "{\"artifact\":\"m\",\"memoryMb\":1}");
+    }
+  }
+
+  @AfterEach
+  void stop() {
+    caller.close();
+    site.close();
+  }
+
+  private void post(String engine, String path, String body) throws Exception {
+    HttpRequest r =
+        HttpRequest.newBuilder(site.url(engine).resolve(path))
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    HttpResponse<String> response =
+        HttpClient.newHttpClient().send(r, HttpResponse.BodyHandlers.ofString());
+    assertEquals(200, response.statusCode(), response.body());
+  }
+
+  private Target target(String engine) {
+    URI url = site.url(engine);
+    return new Target(engine, url, Optional.empty());
+  }
+
+  @Test
+  @DisplayName("sends each target its rate and counts whole right answers")
+  void sendsRate() {
+    List<TargetResult.Summary> s =
+        new OpenLoop(caller, REQUEST)
+            .run(List.of(target("engine-1"), target("engine-2")), 100, Duration.ofSeconds(2));
+    for (TargetResult.Summary t : s) {
+      assertEquals(200, t.answered());
+      assertEquals(0, t.failed());
+      assertTrue(t.firstTokenMicros().p50() >= 5_000, t.toString());
+      assertTrue(t.wholeMicros().p50() >= t.firstTokenMicros().p50(), t.toString());
+    }
+  }
+
+  @Test
+  @DisplayName("counts a stall for every request that was due meanwhile (coordinated omission)")
+  void countsStall() throws Exception {
+    CompletableFuture<Void> stall = CompletableFuture.runAsync(this::stallForHalfASecond);
+    List<TargetResult.Summary> s =
+        new OpenLoop(caller, REQUEST).run(List.of(target("engine-1")), 100, Duration.ofSeconds(2));
+    stall.get(5, TimeUnit.SECONDS);
+    // 500 ms of 2,000 ms stalled: a quarter of the requests waits, so the p99 is near the stall.
+    assertTrue(s.get(0).wholeMicros().p99() > 400_000, s.toString());
+    assertEquals(200, s.get(0).answered());
+  }
+
+  private void stallForHalfASecond() {
+    try {
+      Thread.sleep(500);
+      site.standIns().pause();
+      Thread.sleep(500);
+      site.standIns().resume();
+    } catch (Exception e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  @Test
+  @DisplayName("counts an answer that belongs to another request as failed")
+  void countsCrossedAnswer() throws Exception {
+    // The engine crosses with the request before, so that one must differ and there must be only
+    // one after it.
+    caller.send(site.url("engine-1"), Optional.empty(), new ChatRequest("m", "other", 3));
+    post("engine-1", "/faults", "{\"crossAnswers\":true,\"remaining\":1}");
+    OpenLoop loop = new OpenLoop(caller, REQUEST);
+    List<Target> targets = List.of(target("engine-1"));
+    TargetResult.Summary crossed = loop.run(targets, 2, Duration.ofMillis(500)).get(0);
+    assertEquals(1, crossed.failed());
+    assertEquals(0, crossed.answered());
+    TargetResult.Summary own = loop.run(targets, 2, Duration.ofMillis(500)).get(0);
+    assertEquals(0, own.failed());
+    assertEquals(1, own.answered());
+  }
+
+  @Test
+  @DisplayName("heap gauge: reads the gauge with or without labels and no gauge of a longer name")
+  void readsGauge() {
+    assertEquals(OptionalLong.of(12), HeapGauge.parse("jvm_heap_used_bytes 12\n"));
+    assertEquals(OptionalLong.of(1200), HeapGauge.parse("jvm_heap_used_bytes{vm=\"a\"} 1.2e3"));
+    assertEquals(OptionalLong.empty(), HeapGauge.parse("jvm_heap_used_bytes_max 12\n"));
+  }
+}
