--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/tickets/OperatorCommand.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/tickets/OperatorCommand.java
@@ -71,10 +71,10 @@
     String admins =
         site.vms().stream()
             .map(SiteVm::controlAdmin)
-            .map(Object::toString)
+            .map(java.net.URI::getAuthority)
             .collect(Collectors.joining(", "));
     String text =
-        "[platform]\nlog_url = " + site.url("log") + "\n[control]\nadmin_urls = " + admins + "\n";
+        "[log]\nurl = " + site.url("log") + "\n[controls]\nadmin_addresses = " + admins + "\n";
     return Files.writeString(site.directory().resolve("operator.ini"), text);
   }
 
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlMain.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlMain.java
@@ -2,6 +2,7 @@
 
 import com.github.rvesse.airline.HelpOption;
 import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.AirlineModule;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
@@ -9,7 +10,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.kumquatspindle.api.settings.SettingsException;
 import io.kumquatspindle.transport.logging.LogSetup;
-import jakarta.inject.Inject;
 import java.io.IOException;
 import java.nio.file.Path;
 
@@ -23,7 +23,7 @@
   private static final int FAILED = 1;
   private static final int USAGE = 2;
 
-  @Inject HelpOption<ControlMain> help;
+  @AirlineModule HelpOption<ControlMain> help;
 
   @Required
   @Option(name = "--settings", description = "settings in INI")
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlProgram.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlProgram.java
@@ -226,7 +226,7 @@
         new Member(
             settings.vm(),
             settings.failureDomain(),
-            settings.peerAddress(),
+            settings.advertisedAddress(),
             System.currentTimeMillis(),
             0,
             PeerMessage.MemberState.ALIVE,
@@ -239,7 +239,7 @@
     return new PeerMessage.PeerHello(
         settings.vm(),
         settings.failureDomain(),
-        settings.peerAddress(),
+        settings.advertisedAddress(),
         incarnation,
         EntryHello.PROTOCOL);
   }
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlSettings.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlSettings.java
@@ -16,6 +16,7 @@
  * @param vm this VM
  * @param failureDomain failure domain of this VM
  * @param peerAddress IP address and port for control and entry programs
+ * @param advertisedAddress address that peers are told, if it differs from the one listened on
  * @param adminAddress IP address and port of the admin pages
  * @param logUrl base URL of the platform's log service
  * @param vmListUrl base URL of the platform's VM list
@@ -34,6 +35,7 @@
     VmId vm,
     FailureDomain failureDomain,
     String peerAddress,
+    String advertisedAddress,
     String adminAddress,
     String logUrl,
     String vmListUrl,
@@ -78,6 +80,7 @@
             vm.orElse(VmId.of("absent")),
             domain.orElse(FailureDomain.of("absent")),
             peers,
+            s.text("listen", "peers_advertised", peers),
             admin,
             log,
             vms,
--- a/kumquatspindle-transport/src/test/java/io/kumquatspindle/transport/codec/MessageCodecTests.java
+++ b/kumquatspindle-transport/src/test/java/io/kumquatspindle/transport/codec/MessageCodecTests.java
@@ -39,8 +39,8 @@
     Envelope e = new Envelope(7, 3, m);
     byte[] bytes = MessageCodec.encode(e);
     Envelope back = MessageCodec.decode(bytes);
-    if (m instanceof PeerMessage.Records) {
-      // Log records hold arrays, which equals compares by identity.
+    if (m instanceof PeerMessage.Records || m instanceof PeerMessage.Snapshot) {
+      // These hold arrays, which equals compares by identity.
       assertArrayEquals(bytes, MessageCodec.encode(back));
     } else {
       assertEquals(e, back);
