Serve waiting token requests in order and break streams visibly

A broken stream ended its chunked body regularly and then closed the connection, so a caller could send its next request on a connection that was about to close. The body now has no regular end after the error event.

Tokens that control granted to one request could be taken by another one that arrived at the same time, so the first was refused within its rate. Requests that find the account dry now wait in order, and a full grant refuses nobody.

--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccounts.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccounts.java
@@ -2,6 +2,7 @@
 
 import io.kumquatspindle.api.message.EntryMessage.TokenGrant;
 import io.kumquatspindle.api.model.CustomerName;
+import io.kumquatspindle.entry.control.TokenAccount.Taker;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -41,14 +42,17 @@
    */
   public CompletableFuture<Optional<Long>> take(CustomerName customer, long tokens) {
     TokenAccount account = account(customer);
-    account.demand(tokens);
-    if (account.take(tokens)) {
+    Taker taker = account.take(tokens);
+    if (taker.taken().isDone()) {
       refill(customer, account);
-      return CompletableFuture.completedFuture(Optional.empty());
+    } else {
+      CompletableFuture<Optional<Long>> shortage = ask(customer, account, account.missing(taker));
+      // A full grant can have served an earlier request, whose own grant is still on its way.
+      shortage.thenAccept(s -> s.ifPresent(retryMs -> account.refuse(taker, retryMs)));
+      CompletableFuture.delayedExecutor(ASK_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+          .execute(() -> account.refuse(taker, RETRY_AFTER_MS));
     }
-    return ask(customer, account, account.missing(tokens))
-        .completeOnTimeout(RETRY_AFTER_MS, ASK_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-        .thenApply(retryMs -> account.take(tokens) ? Optional.empty() : Optional.of(retryMs));
+    return taker.taken();
   }
 
   /**
@@ -80,22 +84,24 @@
   private void refill(CustomerName customer, TokenAccount account) {
     long tokens = account.startRefill();
     if (tokens > 0) {
-      ask(customer, account, tokens).whenComplete((retryMs, e) -> account.endRefill());
+      ask(customer, account, tokens).whenComplete((shortage, e) -> account.endRefill());
     }
   }
 
-  // A late grant is added to the account too, since the request's timeout is on a copy.
-  private CompletableFuture<Long> ask(CustomerName customer, TokenAccount account, long tokens) {
+  // Completes with empty after a full grant, otherwise with the time after which to try again. A
+  // grant that comes after the requests' timeout is added to the account too.
+  private CompletableFuture<Optional<Long>> ask(
+      CustomerName customer, TokenAccount account, long tokens) {
     return control
         .askTokens(customer, tokens)
-        .thenApply(grant -> credit(account, grant))
-        .exceptionally(e -> RETRY_AFTER_MS)
-        .copy();
+        .thenApply(grant -> credit(account, grant, tokens))
+        .exceptionally(e -> Optional.of(RETRY_AFTER_MS));
   }
 
-  private static long credit(TokenAccount account, TokenGrant grant) {
+  private static Optional<Long> credit(TokenAccount account, TokenGrant grant, long asked) {
     account.give(grant.tokens());
-    return Math.max(1, grant.retryAfterMs());
+    boolean full = grant.tokens() >= asked;
+    return full ? Optional.empty() : Optional.of(Math.max(1, grant.retryAfterMs()));
   }
 
   private TokenAccount account(CustomerName customer) {
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/CallerServer.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/CallerServer.java
@@ -11,6 +11,7 @@
 import io.kumquatspindle.entry.request.IncomingRequest;
 import io.kumquatspindle.entry.request.RequestHandler;
 import io.netty.channel.Channel;
+import io.netty.handler.codec.DecoderException;
 import java.net.InetSocketAddress;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
@@ -103,6 +104,10 @@
       CallerChannel.of(context).close();
       return;
     }
+    if (cause instanceof DecoderException) {
+      refuse(context, ErrorKind.MALFORMED_REQUEST, "the form cannot be decoded", true);
+      return;
+    }
     switch (code.value()) {
       case 404 -> refuse(context, ErrorKind.UNKNOWN_ROUTE, "no such path", false);
       case 405 -> refuse(context, ErrorKind.METHOD_NOT_ALLOWED, "method not allowed", false);
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/JoobyAnswer.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/JoobyAnswer.java
@@ -98,7 +98,6 @@
 
     @Override
     public void close() {
-      sender.close();
       channel.closeAfterWrites();
     }
 
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/CallerAnswer.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/CallerAnswer.java
@@ -53,7 +53,10 @@
     /** Ends the answer. */
     void end();
 
-    /** Ends the answer and closes the connection. */
+    /**
+     * Closes the connection after what was written, without the end of the body. A caller neither
+     * takes the answer for a whole one nor sends its next request on the connection.
+     */
     void close();
   }
 }
--- a/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/DispatchTests.java
+++ b/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/DispatchTests.java
@@ -2,17 +2,25 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.Socket;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
 import java.nio.charset.StandardCharsets;
+import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
@@ -86,19 +94,41 @@
           r.event("{\"n\":1}");
           r.socket().close();
         });
-    assertBroken(entry.send(entry.completion(true)));
+    assertBroken();
     endpoint.script(
         r -> {
           r.startStream();
           r.event("{\"n\":1}");
           r.send("0\r\n\r\n");
         });
-    assertBroken(entry.send(entry.completion(true)));
+    assertBroken();
   }
 
-  private static void assertBroken(HttpResponse<String> answer) {
-    assertTrue(answer.body().startsWith("data: {\"n\":1}\n\nevent: error\ndata: {\"error\":"));
-    assertTrue(answer.body().contains("\"code\":\"answer_incomplete\""), answer.body());
+  // The body has no regular end either, so that no client takes it for a whole answer.
+  private void assertBroken() throws IOException, InterruptedException {
+    HttpResponse<Stream<String>> answer =
+        entry.client().send(entry.completion(true).build(), BodyHandlers.ofLines());
+    Iterator<String> lines = answer.body().iterator();
+    assertEquals("data: {\"n\":1}", lines.next());
+    assertEquals("", lines.next());
+    assertEquals("event: error", lines.next());
+    String error = lines.next();
+    assertTrue(error.contains("\"code\":\"answer_incomplete\""), error);
+    assertEquals("", lines.next());
+    assertThrows(UncheckedIOException.class, lines::hasNext);
+  }
+
+  @Test
+  @DisplayName("a body over the limit is refused, also if its length is not announced")
+  void refusesLargeBody() throws Exception {
+    byte[] large = new byte[70_000];
+    HttpRequest.BodyPublisher known = HttpRequest.BodyPublishers.ofByteArray(large);
+    HttpRequest.BodyPublisher unknown =
+        HttpRequest.BodyPublishers.ofInputStream(() -> new ByteArrayInputStream(large));
+    for (HttpRequest.BodyPublisher body : List.of(known, unknown)) {
+      HttpResponse<String> answer = entry.send(entry.request("/v1/completions").POST(body));
+      assertError(answer, 413, "not_run");
+    }
   }
 
   @Test
--- a/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/control/ControlSessionTests.java
+++ b/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/control/ControlSessionTests.java
@@ -110,6 +110,22 @@
     assertEquals(new TokenReturn(CUSTOMER, 10), sent.get(sent.size() - 1));
   }
 
+  @Test
+  @DisplayName("grants that arrive in another order than the requests serve all of them")
+  void servesTakersInOrder() {
+    session.connected(sent::add);
+    TokenAccounts accounts = new TokenAccounts(session);
+    CompletableFuture<Optional<Long>> first = accounts.take(CUSTOMER, 10);
+    CompletableFuture<Optional<Long>> second = accounts.take(CUSTOMER, 5);
+    for (int i = 2; i >= 1; i--) {
+      TokenRequest ask = (TokenRequest) sent.get(i);
+      assertEquals(i == 1 ? 10 : 5, ask.tokens());
+      session.received(new TokenGrant(ask.id(), CUSTOMER, ask.tokens(), 0));
+    }
+    assertEquals(Optional.empty(), first.join());
+    assertEquals(Optional.empty(), second.join());
+  }
+
   @Test
   @DisplayName("tokens used in excess are reported to control as a debt")
   void reportsDebt() {
