--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/tickets/OperatorCommand.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/tickets/OperatorCommand.java
@@ -7,6 +7,7 @@
 import io.kumquatspindle.bench.processes.SiteVm;
 import io.kumquatspindle.bench.processes.TestSite;
 import java.io.IOException;
+import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -71,7 +72,7 @@
     String admins =
         site.vms().stream()
             .map(SiteVm::controlAdmin)
-            .map(java.net.URI::getAuthority)
+            .map(URI::getAuthority)
             .collect(Collectors.joining(", "));
     String text =
         "[log]\nurl = " + site.url("log") + "\n[controls]\nadmin_addresses = " + admins + "\n";
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlMain.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlMain.java
@@ -12,6 +12,7 @@
 import io.kumquatspindle.transport.logging.LogSetup;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Locale;
 
 /** Command line of the control program. */
 @Command(
@@ -69,7 +70,7 @@
       return OK;
     }
     LogSetup.defaults()
-        .format(LogSetup.Format.valueOf(s.logFormat().toUpperCase(java.util.Locale.ROOT)))
+        .format(LogSetup.Format.valueOf(s.logFormat().toUpperCase(Locale.ROOT)))
         .level(s.logLevel())
         .install();
     ControlProgram program = ControlProgram.start(s);
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntryMain.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntryMain.java
@@ -2,10 +2,11 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.kumquatspindle.api.settings.SettingsException;
-import io.kumquatspindle.entry.observe.Logging;
+import io.kumquatspindle.transport.logging.LogSetup;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 
 /** Command line of the entry program. */
@@ -86,7 +87,10 @@
   }
 
   private static void run(EntrySettings settings) {
-    Logging.configure(settings.log().format(), settings.log().level());
+    LogSetup.defaults()
+        .format(LogSetup.Format.valueOf(settings.log().format().toUpperCase(Locale.ROOT)))
+        .level(settings.log().level().toUpperCase(Locale.ROOT))
+        .install();
     EntryProgram program = EntryProgram.start(settings);
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(program), "entry-stop"));
   }
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntryProgram.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntryProgram.java
@@ -24,6 +24,7 @@
 import io.kumquatspindle.entry.request.RequestHandler;
 import io.kumquatspindle.transport.link.LinkRuntime;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -55,7 +56,7 @@
   private final CallerServer callerServer;
   private final AdminServer adminServer;
   private final LinkRuntime links = LinkRuntime.start(LINK_THREADS, "entry-link");
-  private final ControlConnector connector;
+  private final Optional<ControlConnector> connector;
   private volatile boolean stopping;
 
   private EntryProgram(EntrySettings settings) {
@@ -81,8 +82,7 @@
     int bodyBytes = settings.limits().bodyBytes();
     callerServer = CallerServer.start(settings.callers(), bodyBytes, handler, clock);
     adminServer = AdminServer.start(settings.admin(), this::isReady, metrics);
-    connector = new ControlConnector(links, settings.control(), session, clock);
-    timers.every(Duration.ofMillis(ControlConnector.TICK_MS), connector::tick);
+    connector = connect(settings);
   }
 
   /**
@@ -155,8 +155,18 @@
     close();
   }
 
+  // Without addresses, the session is connected by whoever started the program.
+  private Optional<ControlConnector> connect(EntrySettings s) {
+    if (s.control().isEmpty()) {
+      return Optional.empty();
+    }
+    ControlConnector c = new ControlConnector(links, s.control(), session, clock);
+    timers.every(Duration.ofMillis(ControlConnector.TICK_MS), c::tick);
+    return Optional.of(c);
+  }
+
   private void close() throws InterruptedException {
-    connector.close();
+    connector.ifPresent(ControlConnector::close);
     links.close();
     callerServer.close();
     adminServer.close();
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/AdminServer.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/AdminServer.java
@@ -3,8 +3,8 @@
 import io.jooby.Context;
 import io.jooby.Jooby;
 import io.jooby.netty.NettyServer;
+import io.kumquatspindle.api.metrics.MetricsText;
 import io.kumquatspindle.entry.observe.EntryMetrics;
-import io.kumquatspindle.entry.observe.MetricsPage;
 import java.net.InetSocketAddress;
 import java.util.function.BooleanSupplier;
 
@@ -31,7 +31,7 @@
     Jooby app = HttpServers.newApplication("admin");
     app.get("/health/live", c -> text(c, 200, "live\n"));
     app.get("/health/ready", c -> ready(c, ready.getAsBoolean()));
-    app.get("/metrics", c -> text(c, 200, MetricsPage.render(metrics.registry())));
+    app.get("/metrics", c -> text(c, 200, MetricsText.of(metrics.registry())));
     return new AdminServer(HttpServers.start(app, address, MAX_BODY_BYTES));
   }
 
