Grant tokens from slots and transfers instead of without limit

Joins the quota controller to the control program: the shares stream, grants to entry programs, transfers between peers, release of slots on a stop. Entry spends a grant only for its time of validity and then returns what is left, because control refills its bucket while a grant is out.

--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlProgram.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlProgram.java
@@ -64,6 +64,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -107,7 +108,13 @@
     placement = newPlacement();
     quota =
         new QuotaDuty(
-            s.vm(), s.failureDomain(), incarnation, appender(StreamName.SHARES), peers, clock);
+            s.vm(),
+            s.failureDomain(),
+            incarnation,
+            appender(StreamName.SHARES),
+            peers,
+            random,
+            clock);
     intents =
         new IntentController(
             s.vm(),
@@ -155,6 +162,7 @@
 
   private void run() throws IOException {
     configuration.subscribe(this::inForce);
+    membersChanged();
     follow(StreamName.SNAPSHOTS, snapshots);
     follow(StreamName.TICKETS, new OwnerFeed(configuration));
     follow(StreamName.DECISIONS, new OwnerFeed(placement));
@@ -220,7 +228,7 @@
             reports,
             streams,
             this::membersChanged,
-            quota::vmsGone);
+            this::vmsListed);
     // Wall-clock time makes the incarnation higher than that of any earlier process on this VM.
     Member self =
         new Member(
@@ -286,6 +294,11 @@
     membership.inForce(state.configuration().number());
   }
 
+  private void vmsListed(Set<VmId> listed) {
+    placement.vmsListed(listed);
+    quota.vmsListed(listed);
+  }
+
   private void membersChanged() {
     quota.members(membership.view());
   }
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/quota/QuotaDuty.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/quota/QuotaDuty.java
@@ -1,5 +1,7 @@
 package io.kumquatspindle.control.quota;
 
+import com.google.common.flogger.FluentLogger;
+import io.kumquatspindle.api.json.Json;
 import io.kumquatspindle.api.message.EntryMessage.TokenGrant;
 import io.kumquatspindle.api.message.EntryMessage.TokenRequest;
 import io.kumquatspindle.api.message.EntryMessage.TokenReturn;
@@ -13,63 +15,265 @@
 import io.kumquatspindle.control.membership.MembershipView;
 import io.kumquatspindle.control.peer.PeerNetwork;
 import io.kumquatspindle.control.state.StreamEvent;
+import io.kumquatspindle.control.state.StreamEventHandler;
+import io.kumquatspindle.control.state.StreamFeed;
 import io.kumquatspindle.control.state.StreamOwner;
+import io.kumquatspindle.engine.membership.MemberView;
+import io.kumquatspindle.engine.quota.QuotaAction;
+import io.kumquatspindle.transport.duty.Duty;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 
-/** Stub. */
-public final class QuotaDuty implements TokenDesk, StreamOwner {
+/** Owns the fold of the shares stream and the token levels of this VM. */
+public final class QuotaDuty implements TokenDesk, StreamOwner, AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private static final int RING_CAPACITY = 4096;
+  private static final long BUSY_RETRY_MS = 100;
+  // Longer than the controller waits, so that tokens that come late are still taken.
+  private static final Duration PEER_TIMEOUT = Duration.ofMillis(500);
+
+  private final SlotFoldAdapter fold;
+  private final StreamEventHandler handler;
+  private final LogAppender appender;
+  private final PeerNetwork peers;
+  private final MonotonicClock clock;
+  private final Duty<QuotaEvent> duty;
+  private final Map<Long, EntryReply> entryReplies = new HashMap<>();
+  private MembershipView members = new MembershipView(0, List.of());
+  private Optional<Consumer<Transfer>> peerReply = Optional.empty();
+  private Optional<Runnable> stopped = Optional.empty();
+  private long lastEntryId;
+
+  /**
+   * Creates a duty and starts its thread.
+   *
+   * @param vm this VM
+   * @param failureDomain its failure domain
+   * @param incarnation identifier of this process
+   * @param appender appends to the shares stream
+   * @param peers connections to peers
+   * @param random source of random choices
+   * @param clock the monotonic clock
+   */
   public QuotaDuty(
       VmId vm,
-      FailureDomain d,
+      FailureDomain failureDomain,
       String incarnation,
-      LogAppender a,
-      PeerNetwork p,
-      MonotonicClock c) {}
+      LogAppender appender,
+      PeerNetwork peers,
+      RandomGenerator random,
+      MonotonicClock clock) {
+    this.appender = appender;
+    this.peers = peers;
+    this.clock = clock;
+    this.fold = new SlotFoldAdapter(vm, failureDomain, incarnation, random, clock);
+    this.handler = new StreamEventHandler(new StreamFeed(fold));
+    this.duty = Duty.<QuotaEvent>builder("quota", this::handle).capacity(RING_CAPACITY).start();
+  }
+
+  @Override
+  public boolean offer(StreamEvent event) {
+    return duty.offer(new QuotaEvent.Stream(event));
+  }
+
+  @Override
+  public long nextOffset() {
+    return handler.nextOffset();
+  }
 
-  public void inForce(ConfigurationState s) {}
+  @Override
+  public boolean logReachable() {
+    return handler.logReachable();
+  }
 
-  public void members(MembershipView v) {}
+  @Override
+  public OptionalLong oldestRecordMs() {
+    return handler.oldestRecordMs();
+  }
 
-  public void vmsGone(Set<VmId> gone) {}
+  /**
+   * Takes a configuration that has come into force.
+   *
+   * @param state the published configuration
+   */
+  public void inForce(ConfigurationState state) {
+    duty.offer(new QuotaEvent.InForce(state.configuration()));
+  }
 
-  public void tick() {}
+  /**
+   * Takes the members.
+   *
+   * @param view the members
+   */
+  public void members(MembershipView view) {
+    duty.offer(new QuotaEvent.Members(view));
+  }
+
+  /**
+   * Takes the platform's list.
+   *
+   * @param listed the VMs that it shows
+   */
+  public void vmsListed(Set<VmId> listed) {
+    duty.offer(new QuotaEvent.VmsListed(listed));
+  }
 
+  /** Lets time pass. */
+  public void tick() {
+    duty.offer(new QuotaEvent.Tick());
+  }
+
+  /**
+   * Gives all slots back.
+   *
+   * @param done called when the log has taken it
+   */
   public void giveBack(Runnable done) {
-    done.run();
+    if (!duty.offer(new QuotaEvent.Stop(done))) {
+      done.run();
+    }
   }
 
   @Override
-  public void request(TokenRequest r, Consumer<TokenGrant> reply) {
-    reply.accept(new TokenGrant(r.id(), r.customer(), r.tokens(), 0));
+  public void request(TokenRequest request, Consumer<TokenGrant> reply) {
+    if (!duty.offer(new QuotaEvent.EntryRequest(request, reply))) {
+      reply.accept(new TokenGrant(request.id(), request.customer(), 0, BUSY_RETRY_MS));
+    }
   }
 
   @Override
-  public void returned(TokenReturn tokens) {}
+  public void returned(TokenReturn tokens) {
+    duty.offer(new QuotaEvent.EntryReturn(tokens));
+  }
 
   @Override
-  public void transferRequested(TransferRequest r, Consumer<Transfer> reply) {
-    reply.accept(new Transfer(r.id(), r.customer(), 0));
+  public void transferRequested(VmId from, TransferRequest request, Consumer<Transfer> reply) {
+    if (!duty.offer(new QuotaEvent.PeerRequest(from, request, reply))) {
+      reply.accept(new Transfer(request.id(), request.customer(), 0));
+    }
   }
 
   @Override
-  public boolean offer(StreamEvent event) {
-    return true;
+  public void close() {
+    duty.close();
   }
 
-  @Override
-  public long nextOffset() {
-    return 0;
+  private void handle(QuotaEvent event) {
+    long now = clock.nowMs();
+    if (event instanceof QuotaEvent.Stream s) {
+      handler.handle(s.event());
+      run(fold.takeActions());
+    } else if (event instanceof QuotaEvent.InForce f) {
+      run(fold.configuration(f.configuration(), now));
+    } else if (event instanceof QuotaEvent.Members m) {
+      members(m.view(), now);
+    } else if (event instanceof QuotaEvent.VmsListed l) {
+      vmsListed(l.listed(), now);
+    } else if (event instanceof QuotaEvent.EntryRequest r) {
+      entryRequest(r, now);
+    } else if (event instanceof QuotaEvent.EntryReturn r) {
+      run(fold.controller().entryReturned(r.tokens().customer(), r.tokens().tokens(), now));
+    } else if (event instanceof QuotaEvent.PeerRequest r) {
+      peerRequest(r, now);
+    } else if (event instanceof QuotaEvent.PeerTransfer t) {
+      Transfer x = t.transfer();
+      run(fold.controller().transfer(x.id(), x.customer(), x.tokens(), now));
+    } else if (event instanceof QuotaEvent.AppendFinished a) {
+      run(fold.controller().appendFinished(a.tag(), a.result(), now));
+    } else if (event instanceof QuotaEvent.Tick) {
+      run(fold.controller().tick(now));
+    } else if (event instanceof QuotaEvent.Stop s) {
+      stopped = Optional.of(s.done());
+      run(fold.controller().stop(now));
+    }
+    if (stopped.isPresent() && !fold.holdsSlots()) {
+      stopped.get().run();
+      stopped = Optional.empty();
+    }
   }
 
-  @Override
-  public boolean logReachable() {
-    return true;
+  private void members(MembershipView view, long now) {
+    members = view;
+    Map<VmId, FailureDomain> live = new HashMap<>();
+    for (MemberView v : view.members()) {
+      if (v.live()) {
+        live.put(v.member().vm(), v.member().failureDomain());
+      }
+    }
+    run(fold.members(live, now));
   }
 
-  @Override
-  public OptionalLong oldestRecordMs() {
-    return OptionalLong.empty();
+  private void vmsListed(Set<VmId> listed, long now) {
+    Set<VmId> missing = new HashSet<>(fold.holders());
+    missing.removeAll(listed);
+    for (VmId vm : missing) {
+      run(fold.controller().vmGone(vm, now));
+    }
   }
+
+  // Numbers of several entry programs may be alike, so the controller gets numbers of its own.
+  private void entryRequest(QuotaEvent.EntryRequest r, long now) {
+    long id = ++lastEntryId;
+    entryReplies.put(id, new EntryReply(r.request().id(), r.reply()));
+    TokenRequest q = r.request();
+    run(fold.controller().entryRequest(id, q.customer(), q.tokens(), now));
+  }
+
+  private void peerRequest(QuotaEvent.PeerRequest r, long now) {
+    peerReply = Optional.of(r.reply());
+    TransferRequest q = r.request();
+    run(fold.controller().transferRequest(r.from(), q.id(), q.customer(), q.tokens(), now));
+    peerReply = Optional.empty();
+  }
+
+  private void run(List<QuotaAction> actions) {
+    for (QuotaAction action : actions) {
+      if (action instanceof QuotaAction.AppendShare a) {
+        appender.append(
+            Json.encode(a.record()), r -> duty.offer(new QuotaEvent.AppendFinished(a.tag(), r)));
+      } else if (action instanceof QuotaAction.GrantToEntry g) {
+        grant(g);
+      } else if (action instanceof QuotaAction.AskPeer a) {
+        ask(a);
+      } else if (action instanceof QuotaAction.SendTransfer s) {
+        peerReply.ifPresent(p -> p.accept(new Transfer(s.id(), s.customer(), s.tokens())));
+      }
+    }
+  }
+
+  private void grant(QuotaAction.GrantToEntry g) {
+    EntryReply reply = entryReplies.remove(g.id());
+    if (reply != null) {
+      reply.to().accept(new TokenGrant(reply.id(), g.customer(), g.tokens(), g.retryAfterMs()));
+    }
+  }
+
+  private void ask(QuotaAction.AskPeer a) {
+    Optional<String> address = members.address(a.vm());
+    if (address.isEmpty()) {
+      duty.offer(new QuotaEvent.PeerTransfer(new Transfer(a.id(), a.customer(), 0)));
+      return;
+    }
+    peers.ask(
+        address.get(),
+        new TransferRequest(a.id(), a.customer(), a.tokens()),
+        PEER_TIMEOUT,
+        m -> {
+          if (m instanceof Transfer t) {
+            duty.offer(new QuotaEvent.PeerTransfer(t));
+          }
+        },
+        reason -> logger.atFine().log("no tokens from %s: %s", a.vm(), reason));
+  }
+
+  private record EntryReply(long id, Consumer<TokenGrant> to) {}
 }
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/quota/SlotFoldAdapter.java
@@ -0,0 +1,125 @@
+package io.kumquatspindle.control.quota;
+
+import com.google.common.flogger.FluentLogger;
+import io.kumquatspindle.api.config.Configuration;
+import io.kumquatspindle.api.json.Json;
+import io.kumquatspindle.api.model.FailureDomain;
+import io.kumquatspindle.api.model.VmId;
+import io.kumquatspindle.api.platform.LogRecord;
+import io.kumquatspindle.api.record.ShareRecord;
+import io.kumquatspindle.api.time.MonotonicClock;
+import io.kumquatspindle.control.state.StreamFold;
+import io.kumquatspindle.engine.quota.QuotaAction;
+import io.kumquatspindle.engine.quota.QuotaController;
+import io.kumquatspindle.engine.quota.SlotFold;
+import io.kumquatspindle.engine.quota.SlotState;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/** The fold of the shares stream together with the quota controller that follows it. */
+final class SlotFoldAdapter implements StreamFold {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final VmId vm;
+  private final FailureDomain failureDomain;
+  private final String incarnation;
+  private final RandomGenerator random;
+  private final MonotonicClock clock;
+  private final List<QuotaAction> actions = new ArrayList<>();
+  private Configuration configuration = Configuration.EMPTY;
+  private Map<VmId, FailureDomain> members = Map.of();
+  private SlotFold fold;
+  private QuotaController controller;
+  private long nextOffset;
+  private int restores;
+
+  SlotFoldAdapter(
+      VmId vm,
+      FailureDomain failureDomain,
+      String incarnation,
+      RandomGenerator random,
+      MonotonicClock clock) {
+    this.vm = vm;
+    this.failureDomain = failureDomain;
+    this.incarnation = incarnation;
+    this.random = random;
+    this.clock = clock;
+    use(SlotFold.initial());
+  }
+
+  QuotaController controller() {
+    return controller;
+  }
+
+  Set<VmId> holders() {
+    return fold.holders();
+  }
+
+  boolean holdsSlots() {
+    return fold.holders().contains(vm);
+  }
+
+  List<QuotaAction> configuration(Configuration c, long now) {
+    configuration = c;
+    return controller.configuration(c, now);
+  }
+
+  List<QuotaAction> members(Map<VmId, FailureDomain> m, long now) {
+    members = Map.copyOf(m);
+    return controller.members(members, now);
+  }
+
+  /** Returns the actions that applying records has led to since the last call. */
+  List<QuotaAction> takeActions() {
+    List<QuotaAction> taken = List.copyOf(actions);
+    actions.clear();
+    return taken;
+  }
+
+  @Override
+  public long nextOffset() {
+    return nextOffset;
+  }
+
+  @Override
+  public void apply(LogRecord r) {
+    nextOffset = r.offset() + 1;
+    try {
+      ShareRecord record = Json.decode(r.value(), ShareRecord.class);
+      SlotFold.Outcome outcome = fold.apply(r.offset(), record);
+      logger.atFine().log("share %d: %s %s", r.offset(), record, outcome);
+      actions.addAll(controller.sharesApplied(record, outcome, clock.nowMs()));
+    } catch (IOException e) {
+      logger.atWarning().withCause(e).log("share at offset %d cannot be read", r.offset());
+    }
+  }
+
+  @Override
+  public byte[] state() {
+    return Json.encode(fold.toState());
+  }
+
+  // Levels start empty after a restore, since the new controller holds no slots yet.
+  @Override
+  public void restore(long offset, byte[] state) throws IOException {
+    SlotState s = Json.decode(state, SlotState.class);
+    nextOffset = offset;
+    use(SlotFold.of(s));
+    long now = clock.nowMs();
+    actions.addAll(controller.members(members, now));
+    actions.addAll(controller.configuration(configuration, now));
+  }
+
+  private void use(SlotFold f) {
+    fold = f;
+    controller =
+        QuotaController.builder(vm, incarnation + "." + restores, failureDomain, fold)
+            .random(random)
+            .build();
+    restores++;
+  }
+}
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/quota/TokenDesk.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/quota/TokenDesk.java
@@ -5,6 +5,7 @@
 import io.kumquatspindle.api.message.EntryMessage.TokenReturn;
 import io.kumquatspindle.api.message.PeerMessage.Transfer;
 import io.kumquatspindle.api.message.PeerMessage.TransferRequest;
+import io.kumquatspindle.api.model.VmId;
 import java.util.function.Consumer;
 
 /** Gives tokens to entry programs and peers. No method blocks. */
@@ -28,8 +29,9 @@
   /**
    * Gives tokens to a peer.
    *
+   * @param from the peer
    * @param request what it asks for
    * @param reply takes the transfer
    */
-  void transferRequested(TransferRequest request, Consumer<Transfer> reply);
+  void transferRequested(VmId from, TransferRequest request, Consumer<Transfer> reply);
 }
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/router/FleetGossip.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/router/FleetGossip.java
@@ -21,7 +21,7 @@
   private final ReportBoard reports;
   private final StreamSync streams;
   private final Runnable onMembersChanged;
-  private final Consumer<Set<VmId>> onVmsGone;
+  private final Consumer<Set<VmId>> onVmsListed;
 
   /**
    * Creates the exchange.
@@ -32,7 +32,7 @@
    * @param reports the reports of endpoints
    * @param streams asks peers for records
    * @param onMembersChanged called when the live members have changed
-   * @param onVmsGone takes VMs that the platform's list shows no longer
+   * @param onVmsListed takes the VMs that the platform's list shows
    */
   public FleetGossip(
       ConfigurationController configuration,
@@ -41,14 +41,14 @@
       ReportBoard reports,
       StreamSync streams,
       Runnable onMembersChanged,
-      Consumer<Set<VmId>> onVmsGone) {
+      Consumer<Set<VmId>> onVmsListed) {
     this.configuration = configuration;
     this.placement = placement;
     this.shares = shares;
     this.reports = reports;
     this.streams = streams;
     this.onMembersChanged = onMembersChanged;
-    this.onVmsGone = onVmsGone;
+    this.onVmsListed = onVmsListed;
   }
 
   @Override
@@ -80,10 +80,7 @@
 
   @Override
   public void listed(Set<VmId> listed, Set<VmId> gone) {
-    placement.vmsListed(listed);
-    if (!gone.isEmpty()) {
-      onVmsGone.accept(gone);
-    }
+    onVmsListed.accept(listed);
   }
 
   @Override
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/router/MessageRouter.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/router/MessageRouter.java
@@ -5,6 +5,7 @@
 import io.kumquatspindle.api.message.Envelope;
 import io.kumquatspindle.api.message.Message;
 import io.kumquatspindle.api.message.PeerMessage;
+import io.kumquatspindle.api.model.VmId;
 import io.kumquatspindle.control.entry.EntrySessions;
 import io.kumquatspindle.control.intent.IntentController;
 import io.kumquatspindle.control.membership.MembershipController;
@@ -12,6 +13,8 @@
 import io.kumquatspindle.control.quota.TokenDesk;
 import io.kumquatspindle.transport.link.Link;
 import io.kumquatspindle.transport.link.LinkListener;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** Hands each message that arrives to the duty it is for. */
 public final class MessageRouter implements LinkListener {
@@ -24,6 +27,7 @@
   private final TokenDesk tokens;
   private final MembershipController membership;
   private final StreamSync streams;
+  private final Map<Link, VmId> peers = new ConcurrentHashMap<>();
 
   private MessageRouter(Builder b) {
     entries = b.entries;
@@ -49,6 +53,7 @@
 
   @Override
   public void closed(Link link, String reason) {
+    peers.remove(link);
     entries
         .closed(link)
         .ifPresent(h -> logger.atInfo().log("entry of %s disconnected: %s", h.vm(), reason));
@@ -95,9 +100,7 @@
 
   private void fromPeer(Link link, Envelope envelope, PeerMessage m) {
     if (m instanceof PeerMessage.PeerHello h) {
-      if (h.protocol() != EntryMessage.EntryHello.PROTOCOL) {
-        link.close("protocol " + h.protocol() + " is not supported");
-      }
+      peerHello(link, h);
     } else if (m instanceof PeerMessage.Gossip g) {
       membership.received(g, reply -> link.reply(envelope, reply));
     } else if (m instanceof PeerMessage.RecordsRequest r) {
@@ -105,7 +108,18 @@
     } else if (m instanceof PeerMessage.SnapshotRequest r) {
       streams.snapshotRequested(r, reply -> link.reply(envelope, reply));
     } else if (m instanceof PeerMessage.TransferRequest r) {
-      tokens.transferRequested(r, transfer -> link.reply(envelope, transfer));
+      VmId peer = peers.get(link);
+      if (peer != null) {
+        tokens.transferRequested(peer, r, transfer -> link.reply(envelope, transfer));
+      }
+    }
+  }
+
+  private void peerHello(Link link, PeerMessage.PeerHello h) {
+    if (h.protocol() == EntryMessage.EntryHello.PROTOCOL) {
+      peers.put(link, h.vm());
+    } else {
+      link.close("protocol " + h.protocol() + " is not supported");
     }
   }
 
--- /dev/null
+++ b/kumquatspindle-control/src/test/java/io/kumquatspindle/control/state/StreamFeedTests.java
@@ -0,0 +1,110 @@
+package io.kumquatspindle.control.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kumquatspindle.api.platform.LogRecord;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("StreamFeed")
+class StreamFeedTests {
+  private final TextFold fold = new TextFold();
+  private final StreamFeed feed = new StreamFeed(fold);
+
+  private static List<LogRecord> records(long from, long to) {
+    return LongStream.range(from, to)
+        .mapToObj(o -> new LogRecord(o, o, Long.toString(o).getBytes(StandardCharsets.UTF_8)))
+        .toList();
+  }
+
+  @Nested
+  @DisplayName("when records come from the log and from peers")
+  class Records {
+
+    @Test
+    @DisplayName("applies each offset once, whoever delivers it, so that nothing is applied twice")
+    void appliesOnce() {
+      assertEquals(3, feed.offer(records(0, 3)));
+      assertEquals(2, feed.offer(records(1, 5)));
+      assertEquals("01234", fold.text);
+    }
+
+    @Test
+    @DisplayName("stops at a gap and goes on when the missing records come")
+    void stopsAtGap() {
+      feed.offer(records(2, 4));
+      assertTrue(feed.hasGap());
+      assertEquals("", fold.text);
+      feed.offer(records(0, 4));
+      assertFalse(feed.hasGap());
+      assertEquals("0123", fold.text);
+    }
+
+    @Test
+    @DisplayName("hands recent records on only if the first one wanted is still held")
+    void handsOn() {
+      feed.offer(records(0, 2_000));
+      assertEquals(List.of(), feed.recentFrom(5));
+      assertEquals(10, feed.recentFrom(1_990).size());
+    }
+  }
+
+  @Nested
+  @DisplayName("when a snapshot comes")
+  class Snapshots {
+
+    @Test
+    @DisplayName("takes it only if it is further on, so that nothing reverts")
+    void neverReverts() {
+      feed.offer(records(0, 4));
+      assertFalse(feed.restore(3, "old".getBytes(StandardCharsets.UTF_8)));
+      assertFalse(feed.restore(4, "same".getBytes(StandardCharsets.UTF_8)));
+      assertTrue(feed.restore(9, "new".getBytes(StandardCharsets.UTF_8)));
+      assertEquals("new", fold.text);
+      assertEquals(9, feed.nextOffset());
+    }
+
+    @Test
+    @DisplayName("closes a gap that the log's retention time has made")
+    void closesGap() {
+      feed.noteEarliest(7);
+      assertTrue(feed.hasGap());
+      feed.restore(8, "x".getBytes(StandardCharsets.UTF_8));
+      assertFalse(feed.hasGap());
+      assertEquals(1, feed.offer(records(7, 9)));
+    }
+  }
+
+  private static final class TextFold implements StreamFold {
+    private String text = "";
+    private long next;
+
+    @Override
+    public long nextOffset() {
+      return next;
+    }
+
+    @Override
+    public void apply(LogRecord r) {
+      text += new String(r.value(), StandardCharsets.UTF_8);
+      next = r.offset() + 1;
+    }
+
+    @Override
+    public byte[] state() {
+      return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void restore(long offset, byte[] state) {
+      text = new String(state, StandardCharsets.UTF_8);
+      next = offset;
+    }
+  }
+}
--- /dev/null
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/request/IntentFoldTests.java
@@ -0,0 +1,72 @@
+package io.kumquatspindle.engine.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.kumquatspindle.api.message.EntryMessage.IntentVerdict;
+import io.kumquatspindle.api.model.CustomerName;
+import io.kumquatspindle.api.model.Ran;
+import io.kumquatspindle.api.model.VmId;
+import io.kumquatspindle.api.record.IntentRecord;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("IntentFold")
+class IntentFoldTests {
+  private static final CustomerName GAS = CustomerName.of("gas");
+  private static final VmId VM = VmId.of("vm-1");
+  private static final long WINDOW_MS = 1_000;
+
+  private final IntentFold fold = new IntentFold(WINDOW_MS);
+
+  private static IntentRecord recorded(String nonce) {
+    return new IntentRecord.IntentRecorded(GAS, "k", "d", VM, nonce);
+  }
+
+  private IntentVerdict verdict(String nonce, String digest) {
+    return fold.answer(GAS, "k", nonce, digest).orElseThrow().verdict();
+  }
+
+  @Test
+  @DisplayName("the first record of a key wins at every VM, so that only one call is sent")
+  void firstWins() {
+    fold.apply(0, 10, new IntentRecord.Group(List.of(recorded("a"), recorded("b"))));
+    fold.apply(1, 11, recorded("c"));
+    assertEquals(IntentVerdict.FIRST, verdict("a", "d"));
+    assertEquals(IntentVerdict.DUPLICATE, verdict("b", "d"));
+    assertEquals(IntentVerdict.DUPLICATE, verdict("c", "d"));
+    assertEquals(IntentVerdict.MISMATCH, verdict("c", "other"));
+  }
+
+  @Test
+  @DisplayName("a call that certainly did not run frees its key, but only for its own record")
+  void freesKey() {
+    fold.apply(0, 10, recorded("a"));
+    fold.apply(1, 11, new IntentRecord.IntentFinished(GAS, "k", "b", Ran.NOT_RUN, 0));
+    assertEquals(IntentVerdict.DUPLICATE, verdict("b", "d"));
+    fold.apply(2, 12, new IntentRecord.IntentFinished(GAS, "k", "a", Ran.NOT_RUN, 0));
+    fold.apply(3, 13, recorded("b"));
+    assertEquals(IntentVerdict.FIRST, verdict("b", "d"));
+  }
+
+  @Test
+  @DisplayName("a duplicate learns the outcome of the call")
+  void tellsOutcome() {
+    fold.apply(0, 10, recorded("a"));
+    fold.apply(1, 11, new IntentRecord.IntentFinished(GAS, "k", "a", Ran.RAN, 200));
+    IntentFold.Answer a = fold.answer(GAS, "k", "b", "d").orElseThrow();
+    assertEquals(new IntentFold.Answer(IntentVerdict.DUPLICATE, Ran.RAN, 200), a);
+  }
+
+  @Test
+  @DisplayName("keys expire by log time, so that memory stays bounded and all VMs agree")
+  void expires() {
+    fold.apply(0, 10, recorded("a"));
+    fold.apply(1, 10 + WINDOW_MS, new IntentRecord.Group(List.of()));
+    assertEquals(1, fold.size());
+    fold.apply(2, 11 + WINDOW_MS, new IntentRecord.Group(List.of()));
+    assertEquals(0, fold.size());
+    assertEquals(Optional.empty(), fold.answer(GAS, "k", "b", "d"));
+  }
+}
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntryProgram.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntryProgram.java
@@ -64,7 +64,7 @@
     String incarnation = UUID.randomUUID().toString();
     EntryHello hello = new EntryHello(settings.vm(), incarnation, EntryHello.PROTOCOL);
     session = new ControlSession(hello, views, clock);
-    accounts = new TokenAccounts(session);
+    accounts = new TokenAccounts(session, clock);
     running = new RunningAttempts(views.configuration(), clock);
     traces = traces(settings.trace());
     RequestEnvironment env = new RequestEnvironment(clock, timers, workers, traces, metrics);
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccount.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccount.java
@@ -7,27 +7,31 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Tokens of one customer that this VM may spend. A negative level is a debt.
+ * Tokens of one customer that this VM may spend.
  *
- * <p>Requests that find the account dry wait in order of arrival. Without the order, a later
- * request could take the tokens that control granted for an earlier one, which would then be
- * refused.
+ * <p>Granted tokens end after a fixed time, because control refills its bucket while they are out;
+ * what is left of them then goes back to control. Requests that find the account dry wait in order
+ * of arrival. Without the order, a later request could take the tokens that control granted for an
+ * earlier one, which would then be refused.
  */
 final class TokenAccount {
   /** A request that waits for tokens; completes with empty when it has them. */
   record Taker(long tokens, CompletableFuture<Optional<Long>> taken) {}
 
   private final ArrayDeque<Taker> takers = new ArrayDeque<>();
+  private final ArrayDeque<Grant> grants = new ArrayDeque<>();
   private long level;
+  private long owedToControl;
   private long demandThisTick;
   private long demandLastTick;
   private boolean refilling;
 
-  synchronized Taker take(long tokens) {
+  synchronized Taker take(long tokens, long nowMs) {
+    expire(nowMs);
     demandThisTick += tokens;
     Taker taker = new Taker(tokens, new CompletableFuture<>());
     if (takers.isEmpty() && level >= tokens) {
-      level -= tokens;
+      spend(tokens);
       taker.taken().complete(Optional.empty());
     } else {
       takers.addLast(taker);
@@ -35,12 +39,13 @@
     return taker;
   }
 
-  void give(long tokens) {
-    add(tokens).forEach(t -> t.taken().complete(Optional.empty()));
+  /** Adds tokens that may be spent until a time; those that come too late go back to control. */
+  void give(long tokens, long untilMs, long nowMs) {
+    add(tokens, untilMs, nowMs).forEach(t -> t.taken().complete(Optional.empty()));
   }
 
   // Ends the wait of a taker that has got nothing.
-  void refuse(Taker taker, long retryAfterMs) {
+  void refuse(Taker taker, long retryAfterMs, long nowMs) {
     boolean waited;
     synchronized (this) {
       waited = takers.remove(taker);
@@ -48,14 +53,19 @@
     if (waited) {
       taker.taken().complete(Optional.of(retryAfterMs));
       // The next one may need less.
-      give(0);
+      give(0, nowMs, nowMs);
     }
   }
 
+  /** Notes unused tokens of a finished request, or an excess as a negative number. */
+  synchronized void settle(long tokens) {
+    owedToControl += tokens;
+  }
+
   // Tokens to ask for on behalf of a taker that has just begun to wait.
   synchronized long missing(Taker taker) {
     long others = takers.stream().mapToLong(Taker::tokens).sum() - taker.tokens();
-    return Math.max(1, taker.tokens() - Math.max(level - others, Math.min(level, 0)));
+    return Math.max(1, taker.tokens() - Math.max(level - others, 0));
   }
 
   // Tokens to ask for now so that the next requests need not wait; 0 if none or if asked already.
@@ -72,28 +82,64 @@
     refilling = false;
   }
 
-  // Takes out what the customer does not need here: everything after an idle tick, or a debt.
-  synchronized long takeSurplus() {
-    boolean idle = demandThisTick == 0 && demandLastTick == 0 && takers.isEmpty();
+  /** Ends a tick and takes out what is to go back to control; negative for an excess. */
+  synchronized long takeReturns(long nowMs) {
+    expire(nowMs);
     demandLastTick = demandThisTick;
     demandThisTick = 0;
-    return idle || level < 0 ? takeAll() : 0;
+    long all = owedToControl;
+    owedToControl = 0;
+    return all;
   }
 
+  /** Takes out everything, for a stop. */
   synchronized long takeAll() {
-    long all = level;
+    long all = level + owedToControl;
+    grants.clear();
     level = 0;
+    owedToControl = 0;
     return all;
   }
 
-  private synchronized List<Taker> add(long tokens) {
-    level += tokens;
+  private synchronized List<Taker> add(long tokens, long untilMs, long nowMs) {
+    if (tokens > 0) {
+      grants.addLast(new Grant(tokens, untilMs));
+      level += tokens;
+    }
+    expire(nowMs);
     List<Taker> served = new ArrayList<>();
     while (!takers.isEmpty() && level >= takers.peekFirst().tokens()) {
       Taker next = takers.pollFirst();
-      level -= next.tokens();
+      spend(next.tokens());
       served.add(next);
     }
     return served;
   }
+
+  private void expire(long nowMs) {
+    for (int i = grants.size(); i > 0; i--) {
+      Grant g = grants.pollFirst();
+      if (g.untilMs() <= nowMs) {
+        level -= g.tokens();
+        owedToControl += g.tokens();
+      } else {
+        grants.addLast(g);
+      }
+    }
+  }
+
+  private void spend(long tokens) {
+    level -= tokens;
+    long left = tokens;
+    while (left > 0) {
+      Grant g = grants.pollFirst();
+      if (g.tokens() > left) {
+        grants.addFirst(new Grant(g.tokens() - left, g.untilMs()));
+        return;
+      }
+      left -= g.tokens();
+    }
+  }
+
+  private record Grant(long tokens, long untilMs) {}
 }
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccounts.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccounts.java
@@ -2,6 +2,8 @@
 
 import io.kumquatspindle.api.message.EntryMessage.TokenGrant;
 import io.kumquatspindle.api.model.CustomerName;
+import io.kumquatspindle.api.time.MonotonicClock;
+import io.kumquatspindle.engine.quota.QuotaSettings;
 import io.kumquatspindle.entry.control.TokenAccount.Taker;
 import java.util.Map;
 import java.util.Optional;
@@ -20,16 +22,22 @@
   // Told to a caller whose tokens control could not say anything about.
   private static final long RETRY_AFTER_MS = 1_000;
 
+  // Less than control counts them as out, for the time that the grant is on its way.
+  private static final long GRANT_VALID_MS = QuotaSettings.DEFAULT.grantValidMs() - 10;
+
   private final ControlClient control;
+  private final MonotonicClock clock;
   private final Map<CustomerName, TokenAccount> accounts = new ConcurrentHashMap<>();
 
   /**
    * Creates empty accounts.
    *
    * @param control where tokens come from
+   * @param clock the clock
    */
-  public TokenAccounts(ControlClient control) {
+  public TokenAccounts(ControlClient control, MonotonicClock clock) {
     this.control = control;
+    this.clock = clock;
   }
 
   /**
@@ -42,15 +50,16 @@
    */
   public CompletableFuture<Optional<Long>> take(CustomerName customer, long tokens) {
     TokenAccount account = account(customer);
-    Taker taker = account.take(tokens);
+    Taker taker = account.take(tokens, clock.nowMs());
     if (taker.taken().isDone()) {
       refill(customer, account);
     } else {
       CompletableFuture<Optional<Long>> shortage = ask(customer, account, account.missing(taker));
       // A full grant can have served an earlier request, whose own grant is still on its way.
-      shortage.thenAccept(s -> s.ifPresent(retryMs -> account.refuse(taker, retryMs)));
+      shortage.thenAccept(
+          s -> s.ifPresent(retryMs -> account.refuse(taker, retryMs, clock.nowMs())));
       CompletableFuture.delayedExecutor(ASK_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-          .execute(() -> account.refuse(taker, RETRY_AFTER_MS));
+          .execute(() -> account.refuse(taker, RETRY_AFTER_MS, clock.nowMs()));
     }
     return taker.taken();
   }
@@ -62,12 +71,13 @@
    * @param tokens unused tokens; negative for an excess
    */
   public void settle(CustomerName customer, long tokens) {
-    account(customer).give(tokens);
+    account(customer).settle(tokens);
   }
 
-  /** Returns what is not needed here to control; call it each {@link #TICK_MS}. */
+  /** Returns unused and expired tokens to control; call it each {@link #TICK_MS}. */
   public void tick() {
-    accounts.forEach((customer, account) -> giveBack(customer, account, account.takeSurplus()));
+    accounts.forEach(
+        (customer, account) -> giveBack(customer, account, account.takeReturns(clock.nowMs())));
   }
 
   /** Returns all tokens to control. */
@@ -77,7 +87,7 @@
 
   private void giveBack(CustomerName customer, TokenAccount account, long tokens) {
     if (tokens != 0 && !control.returnTokens(customer, tokens)) {
-      account.give(tokens);
+      account.settle(tokens);
     }
   }
 
@@ -92,14 +102,15 @@
   // grant that comes after the requests' timeout is added to the account too.
   private CompletableFuture<Optional<Long>> ask(
       CustomerName customer, TokenAccount account, long tokens) {
+    long until = clock.nowMs() + GRANT_VALID_MS;
     return control
         .askTokens(customer, tokens)
-        .thenApply(grant -> credit(account, grant, tokens))
+        .thenApply(grant -> credit(account, grant, tokens, until))
         .exceptionally(e -> Optional.of(RETRY_AFTER_MS));
   }
 
-  private static Optional<Long> credit(TokenAccount account, TokenGrant grant, long asked) {
-    account.give(grant.tokens());
+  private Optional<Long> credit(TokenAccount account, TokenGrant grant, long asked, long until) {
+    account.give(grant.tokens(), until, clock.nowMs());
     boolean full = grant.tokens() >= asked;
     return full ? Optional.empty() : Optional.of(Math.max(1, grant.retryAfterMs()));
   }
