--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlProgram.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlProgram.java
@@ -27,6 +27,7 @@
 import io.kumquatspindle.control.log.StreamFollower;
 import io.kumquatspindle.control.log.StreamListener;
 import io.kumquatspindle.control.membership.MembershipController;
+import io.kumquatspindle.control.membership.MembershipView;
 import io.kumquatspindle.control.peer.PeerNetwork;
 import io.kumquatspindle.control.placement.EndpointPoller;
 import io.kumquatspindle.control.placement.OrderExecutor;
@@ -138,7 +139,7 @@
     listener.target(
         MessageRouter.builder()
             .entries(entries)
-            .wanted(new WantedRouter(s.vm(), membership, peers, placement))
+            .wanted(wantedRouter())
             .placement(placement)
             .intents(intents)
             .tokens(quota)
@@ -207,6 +208,7 @@
             settings.vm(),
             incarnation,
             LoadSettings.DEFAULT.withIdleUnloadMs(settings.replicaIdleLimit().toMillis()),
+            settings.policy().placement(),
             random,
             clock);
     PlatformActions actions =
@@ -243,6 +245,11 @@
         new Membership(self, random), peers, gossip, settings.seedAddresses(), clock);
   }
 
+  private WantedRouter wantedRouter() {
+    return new WantedRouter(
+        settings.vm(), membership, peers, placement, settings.policy().sharedDecider());
+  }
+
   private PeerMessage.PeerHello hello() {
     return new PeerMessage.PeerHello(
         settings.vm(),
@@ -299,8 +306,10 @@
     quota.vmsListed(listed);
   }
 
+  // Without transfers, the quota duty is not told of peers that it could ask.
   private void membersChanged() {
-    quota.members(membership.view());
+    MembershipView view = membership.view();
+    quota.members(settings.policy().tokenTransfers() ? view : view.only(settings.vm()));
   }
 
   private void reported(EndpointReport report, long takenAtMs) {
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlSettings.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlSettings.java
@@ -28,6 +28,7 @@
  * @param orderTimeout longest time that an order to an endpoint may take
  * @param reportPeriod time between polls of an endpoint's report
  * @param stopLimit longest time that a stop may take
+ * @param policy the policies; other than the standard only for comparisons
  * @param logFormat format of log lines, {@code json} or {@code text}
  * @param logLevel least severe level that is logged
  */
@@ -47,6 +48,7 @@
     Duration orderTimeout,
     Duration reportPeriod,
     Duration stopLimit,
+    PolicySettings policy,
     String logFormat,
     String logLevel) {
 
@@ -92,6 +94,7 @@
             s.millis("placement", "order_timeout_ms", Duration.ofMinutes(5), SECOND, DAY),
             s.millis("placement", "report_period_ms", Duration.ofMillis(500), MIN_PERIOD, DAY),
             s.millis("stop", "limit_ms", Duration.ofSeconds(10), SECOND, DAY),
+            PolicySettings.read(s),
             oneOf(s, "log", "format", "json", List.of("json", "text")),
             oneOf(s, "log", "level", "INFO", List.of("DEBUG", "INFO", "WARN", "ERROR")));
     s.finish();
@@ -115,7 +118,7 @@
         .orElse("");
   }
 
-  private static String oneOf(
+  static String oneOf(
       Settings s, String section, String key, String standard, List<String> allowed) {
     String v = s.text(section, key, standard);
     if (!allowed.contains(v)) {
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/membership/MembershipView.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/membership/MembershipView.java
@@ -45,4 +45,15 @@
         .map(v -> v.member().address())
         .findFirst();
   }
+
+  /**
+   * Returns a view that shows one member only.
+   *
+   * @param vm the member
+   * @return the view
+   */
+  public MembershipView only(VmId vm) {
+    return new MembershipView(
+        atMs, members.stream().filter(v -> v.member().vm().equals(vm)).toList());
+  }
 }
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/placement/PlacementFoldAdapter.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/placement/PlacementFoldAdapter.java
@@ -15,6 +15,7 @@
 import io.kumquatspindle.engine.placement.LoadController;
 import io.kumquatspindle.engine.placement.LoadSettings;
 import io.kumquatspindle.engine.placement.PlacementFold;
+import io.kumquatspindle.engine.placement.PlacementPolicy;
 import io.kumquatspindle.engine.placement.PlacementState;
 import io.kumquatspindle.engine.placement.Replica;
 import io.kumquatspindle.engine.placement.Verdict;
@@ -30,6 +31,7 @@
   private final VmId vm;
   private final String incarnation;
   private final LoadSettings settings;
+  private final PlacementPolicy policy;
   private final RandomGenerator random;
   private final MonotonicClock clock;
   private final List<LoadAction> actions = new ArrayList<>();
@@ -45,6 +47,7 @@
    * @param vm this VM
    * @param incarnation identifier of this process
    * @param settings times and speeds
+   * @param policy chooses endpoints and what is unloaded
    * @param random source of random waits
    * @param clock the monotonic clock
    */
@@ -52,11 +55,13 @@
       VmId vm,
       String incarnation,
       LoadSettings settings,
+      PlacementPolicy policy,
       RandomGenerator random,
       MonotonicClock clock) {
     this.vm = vm;
     this.incarnation = incarnation;
     this.settings = settings;
+    this.policy = policy;
     this.random = random;
     this.clock = clock;
     use(PlacementFold.initial());
@@ -117,6 +122,7 @@
     controller =
         LoadController.builder(vm, incarnation + "." + restores, fold)
             .settings(settings)
+            .policy(policy)
             .random(random)
             .build(clock.nowMs());
     restores++;
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/router/WantedRouter.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/router/WantedRouter.java
@@ -24,6 +24,7 @@
   private final Supplier<MembershipView> members;
   private final PeerNetwork peers;
   private final PlacementController placement;
+  private final boolean sharedDecider;
 
   /**
    * Creates a router.
@@ -32,13 +33,19 @@
    * @param membership the members
    * @param peers connections to peers
    * @param placement decides here
+   * @param sharedDecider whether one VM decides on an artifact for the whole fleet
    */
   public WantedRouter(
-      VmId vm, MembershipController membership, PeerNetwork peers, PlacementController placement) {
+      VmId vm,
+      MembershipController membership,
+      PeerNetwork peers,
+      PlacementController placement,
+      boolean sharedDecider) {
     this.vm = vm;
     this.members = membership::view;
     this.peers = peers;
     this.placement = placement;
+    this.sharedDecider = sharedDecider;
   }
 
   /**
@@ -48,6 +55,10 @@
    * @param reply takes the outlook
    */
   public void wanted(ModelWanted wanted, Consumer<ModelOutlook> reply) {
+    if (!sharedDecider) {
+      placement.wanted(wanted, reply);
+      return;
+    }
     MembershipView view = members.get();
     Optional<String> decider =
         RendezvousHash.owner(wanted.artifact().value(), view.live(Optional.empty()))
