Wait for a short shortage of tokens instead of refusing at once

A control that knew no other VM claimed all slots of its failure domain at the start and gave most back, with the tokens in them; and entry refused after 100 ms without an answer of control. Now control claims slots once its members are settled, and entry waits up to 800 ms for a shortage to end.

--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlProgram.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlProgram.java
@@ -78,6 +78,7 @@
   private static final Duration HEARTBEAT = Duration.ofMillis(500);
   private static final Duration SILENCE_LIMIT = Duration.ofSeconds(3);
   private static final long LEAVE_LIMIT_MS = 500;
+  private static final Duration SETTLE_TIME = Duration.ofSeconds(2);
 
   private final ControlSettings settings;
   private final MonotonicClock clock = MonotonicClock.system();
@@ -100,6 +101,7 @@
   private final SnapshotService snapshots;
   private final EndpointPoller poller;
   private LinkServer server;
+  private volatile boolean membersSettled;
 
   private ControlProgram(ControlSettings s) {
     settings = s;
@@ -277,6 +279,7 @@
     timers.every(Duration.ofMillis(500), entries::sendLoads);
     timers.every(Duration.ofSeconds(5), entries::sendPlacement);
     timers.every(settings.reportPeriod(), poller::pollAll);
+    timers.after(SETTLE_TIME, this::settleMembers);
   }
 
   private void startPlatformReaders() {
@@ -296,11 +299,22 @@
 
   private void inForce(ConfigurationState state) {
     placement.inForce(state);
-    quota.inForce(state);
+    if (membersSettled) {
+      quota.inForce(state);
+    }
     entries.configurationInForce(state);
     membership.inForce(state.configuration().number());
   }
 
+  // A VM that knew no other would claim all slots of its failure domain and soon give most back,
+  // with the tokens in them.
+  private void settleMembers() {
+    membersSettled = true;
+    if (configuration.state().configuration().number() > 0) {
+      quota.inForce(configuration.state());
+    }
+  }
+
   private void vmsListed(Set<VmId> listed) {
     placement.vmsListed(listed);
     quota.vmsListed(listed);
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccounts.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccounts.java
@@ -13,8 +13,11 @@
 
 /** Token accounts of all customers on this VM, refilled from control. */
 public final class TokenAccounts {
-  /** Time that a request waits for control's answer, in milliseconds. */
-  static final long ASK_TIMEOUT_MS = 100;
+  /** Time that a request waits for control's answer, in milliseconds; a grant ends after it. */
+  static final long ASK_TIMEOUT_MS = 290;
+
+  /** Longest time that a request waits for a shortage to end, in milliseconds. */
+  static final long MAX_WAIT_MS = 800;
 
   /** Period of {@link #tick}; a refill covers the demand of one period. */
   public static final long TICK_MS = 250;
@@ -49,6 +52,29 @@
    *     try again, in milliseconds; never fails
    */
   public CompletableFuture<Optional<Long>> take(CustomerName customer, long tokens) {
+    CompletableFuture<Optional<Long>> result = new CompletableFuture<>();
+    attempt(customer, tokens, clock.nowMs() + MAX_WAIT_MS, result);
+    return result;
+  }
+
+  // A shortage that ends soon is waited for: the tokens may be on their way from another VM, and a
+  // refusal would hit a customer that is inside its rate.
+  private void attempt(
+      CustomerName customer, long tokens, long untilMs, CompletableFuture<Optional<Long>> result) {
+    takeOnce(customer, tokens)
+        .thenAccept(
+            shortage -> {
+              long retryMs = shortage.orElse(0L);
+              if (shortage.isEmpty() || clock.nowMs() + retryMs > untilMs) {
+                result.complete(shortage);
+              } else {
+                CompletableFuture.delayedExecutor(retryMs, TimeUnit.MILLISECONDS)
+                    .execute(() -> attempt(customer, tokens, untilMs, result));
+              }
+            });
+  }
+
+  private CompletableFuture<Optional<Long>> takeOnce(CustomerName customer, long tokens) {
     TokenAccount account = account(customer);
     Taker taker = account.take(tokens, clock.nowMs());
     if (taker.taken().isDone()) {
