Add quota: token bucket, slot fold and quota controller

Tokens that entry holds or that are on their way to a peer would let the fleet exceed a customer's burst, because the giver's bucket refills meanwhile. Granted and transferred tokens therefore have a limited life and count against the giver's share of the burst for that time. A slot that another process held is used only after that process's tokens have ended.

Rounding never creates tokens: shares of all slots add up exactly, and fractions of a millionth are dropped.

--- /dev/null
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/quota/QuotaControllerTests.java
@@ -0,0 +1,96 @@
+package io.kumquatspindle.engine.quota;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kumquatspindle.api.config.Configuration;
+import io.kumquatspindle.api.config.CustomerSpec;
+import io.kumquatspindle.api.config.Limits;
+import io.kumquatspindle.api.model.CustomerName;
+import io.kumquatspindle.api.model.FailureDomain;
+import io.kumquatspindle.api.model.VmId;
+import io.kumquatspindle.api.record.ShareRecord.SlotClaimed;
+import io.kumquatspindle.api.record.ShareRecord.SlotReleased;
+import io.kumquatspindle.engine.quota.QuotaAction.AppendShare;
+import io.kumquatspindle.engine.quota.QuotaAction.AskPeer;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("QuotaController")
+class QuotaControllerTests {
+  private static final CustomerName C = CustomerName.of("c");
+  private static final FailureDomain D = FailureDomain.of("d");
+  private static final VmId VM = VmId.of("vm-1");
+  private final SlotFold fold = SlotFold.initial();
+  private final QuotaController controller =
+      QuotaController.builder(VM, "p2", D, fold).random(new Random(1)).build();
+
+  private void configure() {
+    Limits limits = new Limits(List.of(D), 1, 4, 4, 30);
+    CustomerSpec spec = new CustomerSpec(C, 1_000, 500, 1, 0, null, null);
+    controller.configuration(
+        new Configuration(
+            1, Map.of(), Map.of(), Map.of(C, spec), Map.of(), Map.of(), Map.of(), Map.of(), limits),
+        0);
+  }
+
+  private void claim(long now) {
+    SlotClaimed r = new SlotClaimed(D, 0, VM, "p2");
+    controller.sharesApplied(r, fold.apply(fold.nextOffset(), r), now);
+  }
+
+  @Test
+  @DisplayName("uses a slot of its predecessor only after the predecessor's tokens have ended")
+  void waitsAfterTakeover() {
+    fold.apply(0, new SlotClaimed(D, 0, VM, "p1"));
+    configure();
+    claim(0);
+    long wait = QuotaSettings.DEFAULT.lentMs();
+    controller.tick(wait - 1);
+    assertEquals(0, controller.tokens(C, wait - 1));
+    controller.tick(wait);
+    assertEquals(0, controller.tokens(C, wait));
+    assertEquals(100, controller.tokens(C, wait + 100));
+  }
+
+  @Test
+  @DisplayName("stops using a slot before it appends the release")
+  void releasesFirst() {
+    configure();
+    claim(0);
+    assertEquals(500, controller.tokens(C, 0));
+    AppendShare append = (AppendShare) controller.stop(10).get(0);
+    assertEquals(new SlotReleased(D, 0, VM, "p2"), append.record());
+    assertEquals(0, controller.tokens(C, 10));
+  }
+
+  @Test
+  @DisplayName("asks a peer of its own failure domain first, and drops an answer that comes twice")
+  void asksNearPeerFirst() {
+    configure();
+    claim(0);
+    VmId near = VmId.of("vm-2");
+    controller.members(Map.of(VmId.of("a-far"), FailureDomain.of("e"), near, D, VM, D), 0);
+    List<QuotaAction> actions = controller.entryRequest(7, C, 600, 0);
+    AskPeer ask = (AskPeer) actions.get(0);
+    assertEquals(near, ask.vm());
+    assertTrue(ask.tokens() >= 100);
+    List<QuotaAction> granted = controller.transfer(ask.id(), C, 100, 5);
+    assertEquals(new QuotaAction.GrantToEntry(7, C, 600, 0), granted.get(0));
+    controller.transfer(ask.id(), C, 100, 6);
+    assertEquals(0, controller.tokens(C, 6));
+  }
+
+  @Test
+  @DisplayName("keeps what its own recent demand needs soon when a peer asks")
+  void keepsOwnDemand() {
+    configure();
+    claim(0);
+    controller.entryRequest(1, C, 200, 0);
+    List<QuotaAction> actions = controller.transferRequest(VmId.of("p"), 9, C, 400, 0);
+    assertEquals(new QuotaAction.SendTransfer(VmId.of("p"), 9, C, 250), actions.get(0));
+  }
+}
--- /dev/null
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/quota/SlotFoldTests.java
@@ -0,0 +1,61 @@
+package io.kumquatspindle.engine.quota;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kumquatspindle.api.json.Json;
+import io.kumquatspindle.api.model.FailureDomain;
+import io.kumquatspindle.api.model.VmId;
+import io.kumquatspindle.api.record.ShareRecord;
+import io.kumquatspindle.api.record.ShareRecord.SlotClaimed;
+import io.kumquatspindle.api.record.ShareRecord.SlotReleased;
+import io.kumquatspindle.api.record.ShareRecord.VmGone;
+import io.kumquatspindle.engine.quota.SlotFold.Outcome;
+import java.io.IOException;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("SlotFold")
+class SlotFoldTests {
+  private static final FailureDomain D = FailureDomain.of("d");
+  private static final VmId A = VmId.of("a");
+  private static final VmId B = VmId.of("b");
+  private SlotFold fold = SlotFold.initial();
+
+  private Outcome apply(ShareRecord r) {
+    return fold.apply(fold.nextOffset(), r);
+  }
+
+  @Test
+  @DisplayName("has one holder, and fills a slot only at its first claim ever")
+  void oneHolder() {
+    assertEquals(Outcome.FIRST_CLAIM, apply(new SlotClaimed(D, 0, A, "a1")));
+    assertEquals(Outcome.IGNORED, apply(new SlotClaimed(D, 0, B, "b1")));
+    assertEquals(Outcome.IGNORED, apply(new SlotReleased(D, 0, B, "b1")));
+    assertEquals(Outcome.RELEASED, apply(new SlotReleased(D, 0, A, "a1")));
+    assertEquals(Outcome.TAKEN_OVER, apply(new SlotClaimed(D, 0, B, "b1")));
+  }
+
+  @Test
+  @DisplayName("gives a restarted process its VM's slots, and ignores its predecessor")
+  void restart() {
+    apply(new SlotClaimed(D, 0, A, "a1"));
+    assertEquals(Outcome.TAKEN_OVER, apply(new SlotClaimed(D, 0, A, "a2")));
+    assertEquals(Outcome.IGNORED, apply(new SlotReleased(D, 0, A, "a1")));
+    assertTrue(fold.isHeldBy(new Slot(D, 0), A, "a2"));
+    assertFalse(fold.isHeldBy(new Slot(D, 0), A, "a1"));
+  }
+
+  @Test
+  @DisplayName("remembers in a snapshot that a freed slot was held before")
+  void snapshot() throws IOException {
+    apply(new SlotClaimed(D, 0, A, "a1"));
+    assertEquals(Outcome.FREED, apply(new VmGone(A, B)));
+    assertEquals(Outcome.IGNORED, apply(new VmGone(A, B)));
+    fold = SlotFold.of(Json.decode(Json.encode(fold.toState()), SlotState.class));
+    assertEquals(2, fold.free(D, 2).size());
+    assertEquals(Outcome.TAKEN_OVER, apply(new SlotClaimed(D, 0, B, "b1")));
+    assertEquals(Outcome.FIRST_CLAIM, apply(new SlotClaimed(D, 1, B, "b1")));
+  }
+}
