--- /dev/null
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Knows the members of the fleet and which of them owns a name. */
+package io.kumquatspindle.engine.membership;
