--- /dev/null
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/request/package-info.java
@@ -0,0 +1,2 @@
+/** Decides whether and how often a request may run. */
+package io.kumquatspindle.engine.request;
