Measure heap, token gaps and send lag in the speed command

Cause: the speed command sampled jvm_heap_used_bytes, which the entry program did not export, so each run printed 0 samples. A failed request did not say why, and nothing told an overloaded load tool from a slow target or showed the time between tokens.

Change: entry exports jvm_heap_used_bytes and jvm_heap_after_gc_bytes. The command prints both, the longest gap between two tokens, the lag of the load tool, and the codes of failed requests.

--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/caller/ChatReply.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/caller/ChatReply.java
@@ -12,6 +12,7 @@
  *
  * @param status the HTTP status
  * @param firstTokenNanos time of the first token, as {@code System.nanoTime()}; 0 if none came
+ * @param longestGapNanos longest time between two tokens; 0 if there were fewer than two
  * @param endNanos time of the end, as {@code System.nanoTime()}
  * @param text the text of all tokens
  * @param complete whether the end marker came
@@ -20,6 +21,7 @@
 public record ChatReply(
     int status,
     long firstTokenNanos,
+    long longestGapNanos,
     long endNanos,
     String text,
     boolean complete,
@@ -37,13 +39,15 @@
     if (response.code() != 200) {
       JsonNode error = Json.mapper().readTree(response.body().bytes()).path("error");
       Optional<String> code = Optional.of(error.path("code").asText(error.asText()));
-      return new ChatReply(response.code(), 0, System.nanoTime(), "", false, code);
+      return new ChatReply(response.code(), 0, 0, System.nanoTime(), "", false, code);
     }
     BufferedSource source = response.body().source();
     StringBuilder text = new StringBuilder();
     Optional<String> error = Optional.empty();
     boolean complete = false;
     long first = 0;
+    long previous = 0;
+    long gap = 0;
     for (String line = source.readUtf8Line(); line != null; line = source.readUtf8Line()) {
       if (!line.startsWith(DATA)) {
         continue;
@@ -55,13 +59,16 @@
       }
       JsonNode event = Json.mapper().readTree(data);
       String token = event.path("choices").path(0).path("delta").path("content").asText();
-      if (first == 0 && !token.isEmpty()) {
-        first = System.nanoTime();
+      if (!token.isEmpty()) {
+        long now = System.nanoTime();
+        gap = first == 0 ? 0 : Math.max(gap, now - previous);
+        first = first == 0 ? now : first;
+        previous = now;
       }
       text.append(token);
       error = error.or(() -> errorCode(event));
     }
-    return new ChatReply(200, first, System.nanoTime(), text.toString(), complete, error);
+    return new ChatReply(200, first, gap, System.nanoTime(), text.toString(), complete, error);
   }
 
   /**
--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/speed/HeapGauge.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/speed/HeapGauge.java
@@ -14,6 +14,7 @@
 /** Samples the heap in use of a process from its metrics page. */
 final class HeapGauge {
   private static final String NAME = "jvm_heap_used_bytes";
+  private static final String AFTER_COLLECTION = "jvm_heap_after_gc_bytes";
   private static final long PERIOD_MS = 500;
 
   private final Caller caller;
@@ -29,27 +30,39 @@
     return new Sampling();
   }
 
-  private OptionalLong read() {
+  private String read() {
     try {
-      return parse(caller.get(page, Optional.empty()).body());
+      return caller.get(page, Optional.empty()).body();
     } catch (IOException e) {
-      return OptionalLong.empty(); // A missing sample is not worth failing the run.
+      return ""; // A missing sample is not worth failing the run.
     }
   }
 
   static OptionalLong parse(String page) {
+    return parse(page, NAME);
+  }
+
+  private static OptionalLong parse(String page, String name) {
     return page.lines()
-        .filter(l -> l.startsWith(NAME + " ") || l.startsWith(NAME + "{"))
+        .filter(l -> l.startsWith(name + " ") || l.startsWith(name + "{"))
         .mapToLong(l -> (long) Double.parseDouble(l.substring(l.lastIndexOf(' ') + 1)))
         .findFirst();
   }
 
-  /** Heap in use, in bytes; with garbage that has not been collected yet. */
-  record Heap(long samples, long min, long max) {}
+  /**
+   * Heap in use, in bytes.
+   *
+   * @param samples number of samples
+   * @param min least heap in use, with garbage that has not been collected yet
+   * @param max most heap in use, with such garbage
+   * @param maxAfterCollection most heap that was left after a collection; 0 before the first one
+   */
+  record Heap(long samples, long min, long max, long maxAfterCollection) {}
 
   /** Samples that are being taken. */
   final class Sampling {
     private final List<Long> samples = new ArrayList<>();
+    private long maxAfterCollection;
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
 
     private Sampling() {
@@ -61,14 +74,16 @@
       synchronized (samples) {
         long min = samples.stream().mapToLong(Long::longValue).min().orElse(0);
         long max = samples.stream().mapToLong(Long::longValue).max().orElse(0);
-        return new Heap(samples.size(), min, max);
+        return new Heap(samples.size(), min, max, maxAfterCollection);
       }
     }
 
     private void sample() {
-      OptionalLong value = read();
+      String text = read();
       synchronized (samples) {
-        value.ifPresent(samples::add);
+        parse(text).ifPresent(samples::add);
+        long left = parse(text, AFTER_COLLECTION).orElse(0);
+        maxAfterCollection = Math.max(maxAfterCollection, left);
       }
     }
   }
--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/speed/OpenLoop.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/speed/OpenLoop.java
@@ -1,6 +1,7 @@
 package io.kumquatspindle.bench.speed;
 
 import io.kumquatspindle.bench.caller.Caller;
+import io.kumquatspindle.bench.caller.ChatReply;
 import io.kumquatspindle.bench.caller.ChatRequest;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -52,17 +53,17 @@
   }
 
   private CompletableFuture<Void> send(Target t, TargetResult result, long due) {
-    return caller
-        .sendAsync(t.base(), t.key(), request)
-        .handle(
-            (reply, e) -> {
-              if (e == null) {
-                result.add(due, request, reply);
-              } else {
-                result.addFailure();
-              }
-              return null;
-            });
+    CompletableFuture<ChatReply> sent = caller.sendAsync(t.base(), t.key(), request);
+    result.sent(due);
+    return sent.handle(
+        (reply, e) -> {
+          if (e == null) {
+            result.add(due, request, reply);
+          } else {
+            result.addFailure(String.valueOf(e.getMessage()));
+          }
+          return null;
+        });
   }
 
   private static void sleepUntil(long due) {
--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/speed/SpeedReport.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/speed/SpeedReport.java
@@ -53,19 +53,24 @@
           r.entry.failed(),
           r.direct.answered(),
           r.direct.failed());
-      TargetResult.Times ef = r.entry.firstTokenMicros();
-      TargetResult.Times df = r.direct.firstTokenMicros();
-      TargetResult.Times ew = r.entry.wholeMicros();
-      TargetResult.Times dw = r.direct.wholeMicros();
-      printLine(out, "first token p50", ef.p50(), df.p50());
-      printLine(out, "first token p99", ef.p99(), df.p99());
-      printLine(out, "whole answer p50", ew.p50(), dw.p50());
-      printLine(out, "whole answer p99", ew.p99(), dw.p99());
+      printTimes(out, "first token", r.entry.firstTokenMicros(), r.direct.firstTokenMicros());
+      printTimes(out, "whole answer", r.entry.wholeMicros(), r.direct.wholeMicros());
+      printTimes(out, "longest gap", r.entry.gapMicros(), r.direct.gapMicros());
+      printTimes(out, "send lag", r.entry.sendLagMicros(), r.direct.sendLagMicros());
+      if (!r.entry.failures().isEmpty() || !r.direct.failures().isEmpty()) {
+        out.println("  failures: entry " + r.entry.failures() + " direct " + r.direct.failures());
+      }
       printHeap(out, "under load", r.heapUnderLoad);
     }
     printHeap(out, "at rest", heapAtRest);
   }
 
+  private static void printTimes(
+      PrintStream out, String what, TargetResult.Times entry, TargetResult.Times direct) {
+    printLine(out, what + " p50", entry.p50(), direct.p50());
+    printLine(out, what + " p99", entry.p99(), direct.p99());
+  }
+
   private static void printLine(PrintStream out, String what, long entry, long direct) {
     out.printf(
         Locale.ROOT,
@@ -80,10 +85,11 @@
   private static void printHeap(PrintStream out, String when, HeapGauge.Heap h) {
     out.printf(
         Locale.ROOT,
-        "  entry heap in use %s: %.1f to %.1f MB (%d samples)%n",
+        "  entry heap in use %s: %.1f to %.1f MB, after collection at most %.1f MB (%d samples)%n",
         when,
         h.min() / 1e6,
         h.max() / 1e6,
+        h.maxAfterCollection() / 1e6,
         h.samples());
   }
 }
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/observe/EntryMetrics.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/observe/EntryMetrics.java
@@ -2,13 +2,27 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryPoolMXBean;
+import java.lang.management.MemoryType;
+import java.lang.management.MemoryUsage;
 import java.time.Duration;
+import java.util.Objects;
 import java.util.function.IntSupplier;
 
 /** The measurements of the entry program. */
 public final class EntryMetrics {
   private final MetricRegistry registry = new MetricRegistry();
 
+  /** Creates the measurements, with the heap of the process among them. */
+  public EntryMetrics() {
+    Runtime jvm = Runtime.getRuntime();
+    Gauge<Long> used = () -> jvm.totalMemory() - jvm.freeMemory();
+    Gauge<Long> live = EntryMetrics::liveHeapBytes;
+    registry.register("jvm_heap_used_bytes", used);
+    registry.register("jvm_heap_after_gc_bytes", live);
+  }
+
   /**
    * Returns the registry behind the measurements.
    *
@@ -70,4 +84,14 @@
   public void gauge(String name, IntSupplier value) {
     registry.register(name, (Gauge<Integer>) value::getAsInt);
   }
+
+  // What the last collection of each heap pool left, without garbage made since.
+  private static long liveHeapBytes() {
+    return ManagementFactory.getMemoryPoolMXBeans().stream()
+        .filter(p -> p.getType() == MemoryType.HEAP)
+        .map(MemoryPoolMXBean::getCollectionUsage)
+        .filter(Objects::nonNull)
+        .mapToLong(MemoryUsage::getUsed)
+        .sum();
+  }
 }
