Write parts of a stream without waiting for the event loop

Cause: the relay waited for the event loop after each token, two thread hand-overs for each part, and could not read the next token meanwhile.

--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/JoobyAnswer.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/JoobyAnswer.java
@@ -5,10 +5,7 @@
 import io.kumquatspindle.entry.request.CallerAnswer;
 import java.io.IOException;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
 /** An answer that Jooby sends. */
 final class JoobyAnswer implements CallerAnswer {
@@ -68,6 +65,8 @@
 
   private final class JoobyStream implements Stream {
     private final Sender sender;
+    private final WriteWindow window =
+        new WriteWindow(TimeUnit.SECONDS.toNanos(CallerChannel.WRITE_STALL_SECONDS));
 
     JoobyStream(Sender sender) {
       this.sender = sender;
@@ -75,19 +74,11 @@
 
     @Override
     public void write(byte[] part) throws IOException {
-      CompletableFuture<Void> written = new CompletableFuture<>();
-      sender.write(part, (c, cause) -> complete(written, cause));
-      try {
-        written.get(CallerChannel.WRITE_STALL_SECONDS, TimeUnit.SECONDS);
-      } catch (ExecutionException e) {
-        throw new IOException("the caller is gone", e.getCause());
-      } catch (TimeoutException e) {
+      if (!window.reserve(part.length)) {
         channel.close();
-        throw new IOException("the caller takes nothing", e);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        throw new IOException("interrupted", e);
+        throw new IOException("the caller takes nothing");
       }
+      sender.write(part, (c, cause) -> window.written(part.length, cause));
     }
 
     @Override
@@ -100,13 +91,5 @@
     public void close() {
       channel.closeAfterWrites();
     }
-
-    private static void complete(CompletableFuture<Void> written, Throwable cause) {
-      if (cause == null) {
-        written.complete(null);
-      } else {
-        written.completeExceptionally(cause);
-      }
-    }
   }
 }
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/CallerAnswer.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/CallerAnswer.java
@@ -43,10 +43,11 @@
   interface Stream {
 
     /**
-     * Writes a part and waits until the connection has taken it.
+     * Writes a part, and waits while too much of the answer has not been taken by the connection.
      *
      * @param part the part
-     * @throws IOException if the caller is gone or takes nothing for too long
+     * @throws IOException if an earlier part found the caller gone, or nothing is taken for too
+     *     long
      */
     void write(byte[] part) throws IOException;
 
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/Reply.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/Reply.java
@@ -135,10 +135,10 @@
   }
 
   /**
-   * Writes a part of a streamed answer and waits until the connection has taken it.
+   * Writes a part of a streamed answer, and waits while the connection takes too little.
    *
    * @param part the part
-   * @throws IOException if the caller is gone or takes nothing for too long
+   * @throws IOException if an earlier part found the caller gone, or nothing is taken for too long
    */
   public void write(byte[] part) throws IOException {
     stream.write(part);
