Bound running requests and held bodies of the entry program

Cause: a request that did not wait for a model was never refused for lack of room: each took a thread of the HTTP client, up to 20,000, and its body was held. A trial at 1,000/s on a machine with load average 79 left 216.9 MB after collections of a heap of 256 MB.

Change: running_requests (1,000) and body_bytes_at_once (16 MiB); what exceeds them is refused at once with queue_full as not run.

--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntryProgram.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntryProgram.java
@@ -65,7 +65,8 @@
     EntryHello hello = new EntryHello(settings.vm(), incarnation, EntryHello.PROTOCOL);
     session = new ControlSession(hello, views, clock);
     accounts = new TokenAccounts(session);
-    running = new RunningAttempts(views.configuration(), clock);
+    running =
+        new RunningAttempts(settings.limits().runningRequests(), views.configuration(), clock);
     traces = traces(settings.trace());
     RequestEnvironment env = new RequestEnvironment(clock, timers, workers, traces, metrics);
     ModelWaitRoom room =
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntrySettings.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntrySettings.java
@@ -102,6 +102,11 @@
   private static RequestLimits limits(Settings s) {
     int bodyBytes = (int) s.number("limits", "body_bytes", 4L << 20, 1024, 64L << 20);
     int waiting = (int) s.number("limits", "waiting_requests", 2_000, 1, 100_000);
+    int running = (int) s.number("limits", "running_requests", 1_000, 1, 20_000);
+    long atOnce = s.number("limits", "body_bytes_at_once", 16L << 20, 1024, 16L << 30);
+    if (atOnce < bodyBytes) {
+      s.fault("limits", "body_bytes_at_once", "at least body_bytes");
+    }
     Duration min = Duration.ofMillis(1);
     Duration standard =
         s.millis("limits", "default_deadline_ms", Duration.ofSeconds(30), min, MAX_DURATION);
@@ -111,7 +116,7 @@
       s.fault("limits", "default_deadline_ms", "at most max_deadline_ms");
     }
     long maxTokens = s.number("limits", "default_max_tokens", 256, 1, 1_000_000);
-    return new RequestLimits(bodyBytes, waiting, standard, max, maxTokens);
+    return new RequestLimits(bodyBytes, waiting, running, atOnce, standard, max, maxTokens);
   }
 
   private static Stop stop(Settings s) {
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/DispatchFilter.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/DispatchFilter.java
@@ -1,9 +1,11 @@
 package io.kumquatspindle.entry.dispatch;
 
+import io.kumquatspindle.api.error.ErrorKind;
 import io.kumquatspindle.engine.request.RetryBudget;
 import io.kumquatspindle.entry.control.ReplicaUses;
 import io.kumquatspindle.entry.control.Views;
 import io.kumquatspindle.entry.request.ModelWaitRoom;
+import io.kumquatspindle.entry.request.Refusal;
 import io.kumquatspindle.entry.request.RequestContext;
 import io.kumquatspindle.entry.request.RequestEnvironment;
 import io.kumquatspindle.entry.request.RequestFilter;
@@ -51,6 +53,11 @@
 
   @Override
   public void handle(RequestContext context, Consumer<RequestContext> next) {
+    if (!running.tryEnter()) {
+      context.refuse(Refusal.of(ErrorKind.QUEUE_FULL, "too many requests are running"));
+      return;
+    }
+    context.reply().onEnd(o -> running.leave());
     synchronized (budget) {
       budget.request(env.clock().nowMs());
     }
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/RunningAttempts.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/RunningAttempts.java
@@ -4,6 +4,7 @@
 import io.kumquatspindle.entry.control.ConfigurationView;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** All attempts in progress, for the checks that may end them. */
 public final class RunningAttempts {
@@ -14,21 +15,38 @@
   static final long STALL_LIMIT_MS = 10_000;
 
   private final Set<RunningAttempt> attempts = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger places = new AtomicInteger();
+  private final int capacity;
   private final ConfigurationView configuration;
   private final MonotonicClock clock;
 
   /**
    * Creates an empty set that follows the configuration.
    *
+   * @param capacity the most requests that run at once
    * @param configuration tells which keys work
    * @param clock the clock
    */
-  public RunningAttempts(ConfigurationView configuration, MonotonicClock clock) {
+  public RunningAttempts(int capacity, ConfigurationView configuration, MonotonicClock clock) {
+    this.capacity = capacity;
     this.configuration = configuration;
     this.clock = clock;
     configuration.onChange(this::checkKeys);
   }
 
+  // Takes a place for a request, which it gives back when it ends; false if all are taken.
+  boolean tryEnter() {
+    if (places.incrementAndGet() > capacity) {
+      places.decrementAndGet();
+      return false;
+    }
+    return true;
+  }
+
+  void leave() {
+    places.decrementAndGet();
+  }
+
   void add(RunningAttempt attempt) {
     attempts.add(attempt);
   }
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/RequestHandler.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/RequestHandler.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** Takes requests from the HTTP server and sends them through the filters. */
 public final class RequestHandler {
@@ -17,6 +18,7 @@
   private final RequestLimits limits;
   private final RequestEnvironment env;
   private final AtomicInteger inFlight = new AtomicInteger();
+  private final AtomicLong bodyBytes = new AtomicLong();
   private volatile boolean accepting = true;
 
   private RequestHandler(FilterChain chain, RequestLimits limits, RequestEnvironment env) {
@@ -70,11 +72,17 @@
    */
   public void handle(IncomingRequest request, CallerAnswer answer) {
     RequestContext context = begin(request, answer);
-    if (accepting) {
-      chain.start(context);
-    } else {
+    long size = request.body().length;
+    if (!accepting) {
       context.span().end();
       context.refuse(Refusal.of(ErrorKind.SHUTTING_DOWN, "the VM is stopping"));
+    } else if (bodyBytes.addAndGet(size) > limits.bodyBytesAtOnce()) {
+      bodyBytes.addAndGet(-size);
+      context.span().end();
+      context.refuse(Refusal.of(ErrorKind.QUEUE_FULL, "too many bytes of requests are held"));
+    } else {
+      context.reply().onEnd(o -> bodyBytes.addAndGet(-size));
+      chain.start(context);
     }
   }
 
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/RequestLimits.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/RequestLimits.java
@@ -7,6 +7,8 @@
  *
  * @param bodyBytes largest body, in bytes
  * @param waitingRequests the most requests that wait for models
+ * @param runningRequests the most requests that run on endpoints
+ * @param bodyBytesAtOnce the most bytes of all bodies that are held at once
  * @param defaultDeadline deadline of a request that gives none
  * @param maxDeadline longest deadline
  * @param defaultMaxTokens tokens of an answer for a request that gives no limit
@@ -14,6 +16,8 @@
 public record RequestLimits(
     int bodyBytes,
     int waitingRequests,
+    int runningRequests,
+    long bodyBytesAtOnce,
     Duration defaultDeadline,
     Duration maxDeadline,
     long defaultMaxTokens) {}
--- a/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/EntryFixture.java
+++ b/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/EntryFixture.java
@@ -35,6 +35,8 @@
   static final ArtifactName MODEL = ArtifactName.of("drafter");
   static final FailureDomain DOMAIN = FailureDomain.of("fd-a");
   static final CustomerName CUSTOMER = CustomerName.of("gasworks");
+  static final int RUNNING_REQUESTS = 40;
+  static final int BODY_BYTES_AT_ONCE = 300_000;
   private static final InetSocketAddress ANY_PORT =
       InetSocketAddress.createUnresolved("127.0.0.1", 0);
 
@@ -50,7 +52,14 @@
 
   EntryFixture(long tokens) {
     RequestLimits limits =
-        new RequestLimits(65_536, 100, Duration.ofSeconds(20), Duration.ofSeconds(60), 256);
+        new RequestLimits(
+            65_536,
+            100,
+            RUNNING_REQUESTS,
+            BODY_BYTES_AT_ONCE,
+            Duration.ofSeconds(20),
+            Duration.ofSeconds(60),
+            256);
     program =
         EntryProgram.start(
             new EntrySettings(
