Drop a request's close listener when the request ends

Cause: each attempt and each wait added a listener to the close future of the caller's connection. Netty keeps such listeners until the connection closes, so a persistent connection held every request it had carried, with its body; the heap grew and was collected over and over.

Change: a connection keeps one listener on its channel and the close listeners of its current request, which are dropped at the end of it.

--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/CallerChannel.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/CallerChannel.java
@@ -12,6 +12,8 @@
 import io.netty.util.AttributeKey;
 import java.lang.reflect.Field;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -29,11 +31,14 @@
 
   private final Channel channel;
   private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+  private final List<Runnable> closeListeners = new ArrayList<>();
   private boolean busy;
+  private boolean closed;
 
   private CallerChannel(Channel channel) {
     this.channel = channel;
     channel.config().setOption(ChannelOption.SO_KEEPALIVE, true);
+    channel.closeFuture().addListener(f -> closed());
   }
 
   // Must be called on the connection's event loop.
@@ -61,6 +66,9 @@
 
   // Takes the next request when what has been written so far is on its way.
   void ended(Runnable written) {
+    synchronized (closeListeners) {
+      closeListeners.clear();
+    }
     ChannelFuture flushed = channel.writeAndFlush(Unpooled.EMPTY_BUFFER);
     channel.eventLoop().execute(() -> watch(flushed, -1));
     flushed.addListener(
@@ -85,8 +93,26 @@
     }
   }
 
+  // The listener is dropped when the current request ends: a listener on the channel itself would
+  // keep each request in memory for as long as its connection is open.
   void onClosed(Runnable listener) {
-    channel.closeFuture().addListener(f -> listener.run());
+    synchronized (closeListeners) {
+      if (!closed) {
+        closeListeners.add(listener);
+        return;
+      }
+    }
+    listener.run();
+  }
+
+  private void closed() {
+    List<Runnable> listeners;
+    synchronized (closeListeners) {
+      closed = true;
+      listeners = List.copyOf(closeListeners);
+      closeListeners.clear();
+    }
+    listeners.forEach(Runnable::run);
   }
 
   void closeAfterWrites() {
