--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntryProgram.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntryProgram.java
@@ -59,7 +59,8 @@
   private final Optional<ControlConnector> connector;
   private volatile boolean stopping;
 
-  private EntryProgram(EntrySettings settings) {
+  private EntryProgram(EntrySettings settings, Traces traces) {
+    this.traces = traces;
     this.settings = settings;
     String incarnation = UUID.randomUUID().toString();
     EntryHello hello = new EntryHello(settings.vm(), incarnation, EntryHello.PROTOCOL);
@@ -67,7 +68,6 @@
     accounts = new TokenAccounts(session);
     running =
         new RunningAttempts(settings.limits().runningRequests(), views.configuration(), clock);
-    traces = traces(settings.trace());
     RequestEnvironment env = new RequestEnvironment(clock, timers, workers, traces, metrics);
     ModelWaitRoom room =
         new ModelWaitRoom(settings.limits().waitingRequests(), views, session, env);
@@ -93,7 +93,12 @@
    * @return the running program
    */
   public static EntryProgram start(EntrySettings settings) {
-    EntryProgram program = new EntryProgram(settings);
+    return start(settings, traces(settings.trace()));
+  }
+
+  // Tests give traces that they can read.
+  static EntryProgram start(EntrySettings settings, Traces traces) {
+    EntryProgram program = new EntryProgram(settings, traces);
     logger.atInfo().log("listening for callers on port %s", program.callerPort());
     return program;
   }
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/Attempt.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/Attempt.java
@@ -61,11 +61,15 @@
   @Override
   public void onFailure(Call call, IOException e) {
     deadline.cancel();
-    listener.failed(failure(e));
+    context.logged(() -> listener.failed(failure(e)));
   }
 
   @Override
   public void onResponse(Call call, Response response) {
+    context.logged(() -> respond(call, response));
+  }
+
+  private void respond(Call call, Response response) {
     Optional<AttemptFailure> failure;
     try (response) {
       failure = handle(call, response);
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/DispatchRun.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/DispatchRun.java
@@ -63,7 +63,7 @@
   private void withoutEndpoint() {
     if (attempts < MAX_ATTEMPTS && filter.picker.mustWait(target)) {
       tried.clear();
-      filter.room.enter(context, c -> next());
+      filter.room.enter(context, c -> c.logged(this::next));
     } else {
       context.refuse(last);
     }
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/observe/Traces.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/observe/Traces.java
@@ -67,7 +67,13 @@
     return exportedBy(OtlpHttpSpanExporter.builder().setEndpoint(endpoint).build());
   }
 
-  static Traces exportedBy(SpanExporter exporter) {
+  /**
+   * Returns traces that go to an exporter.
+   *
+   * @param exporter the exporter
+   * @return the traces
+   */
+  public static Traces exportedBy(SpanExporter exporter) {
     return new Traces(Optional.of(exporter));
   }
 
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/FilterChain.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/FilterChain.java
@@ -20,13 +20,15 @@
   }
 
   private Consumer<RequestContext> next(int index) {
-    return context -> {
-      try {
-        filters.get(index).handle(context, next(index + 1));
-      } catch (RuntimeException e) {
-        logger.atSevere().withCause(e).log("request %s failed", context.requestId());
-        context.refuse(Refusal.of(ErrorKind.INTERNAL, "internal error"));
-      }
-    };
+    return context -> context.logged(() -> run(index, context));
+  }
+
+  private void run(int index, RequestContext context) {
+    try {
+      filters.get(index).handle(context, next(index + 1));
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("request %s failed", context.requestId());
+      context.refuse(Refusal.of(ErrorKind.INTERNAL, "internal error"));
+    }
   }
 }
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/RequestContext.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/RequestContext.java
@@ -1,6 +1,7 @@
 package io.kumquatspindle.entry.request;
 
 import io.kumquatspindle.entry.control.KeyResult;
+import io.kumquatspindle.transport.logging.LogContext;
 import io.opentelemetry.api.trace.Span;
 import java.util.Optional;
 
@@ -68,6 +69,17 @@
         request, requestId, reply, span, route, completion, caller, target, ms, use);
   }
 
+  /**
+   * Runs a step of the request, whose log lines then carry its trace id and request id.
+   *
+   * @param step the step
+   */
+  public void logged(Runnable step) {
+    try (LogContext ids = LogContext.of(span.getSpanContext().getTraceId(), requestId)) {
+      step.run();
+    }
+  }
+
   /**
    * Refuses the request.
    *
--- a/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/EntryFixture.java
+++ b/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/EntryFixture.java
@@ -15,6 +15,7 @@
 import io.kumquatspindle.api.model.KeyHash;
 import io.kumquatspindle.api.model.ServiceName;
 import io.kumquatspindle.api.model.VmId;
+import io.kumquatspindle.entry.observe.Traces;
 import io.kumquatspindle.entry.request.RequestLimits;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -51,6 +52,10 @@
   }
 
   EntryFixture(long tokens) {
+    this(tokens, Traces.none());
+  }
+
+  EntryFixture(long tokens, Traces traces) {
     RequestLimits limits =
         new RequestLimits(
             65_536,
@@ -71,7 +76,8 @@
                 limits,
                 new EntrySettings.Stop(Duration.ofMillis(100), Duration.ofSeconds(10)),
                 new EntrySettings.Log("text", "info"),
-                new EntrySettings.Trace("none", "")));
+                new EntrySettings.Trace("none", "")),
+            traces);
     control = new FakeControl(program.session(), tokens);
   }
 
