Find the caller's channel without reflection

Cause: CallerChannel read private fields of Jooby's context classes, which a Jooby release can rename.

Change: CurrentChannel, a ChannelInitializerExtension, puts a handler in front of Jooby's that notes the channel whose data the event loop is reading. The first look-up of a request happens within that read; later ones use an attribute of the request. Outside of a read it throws, so a Jooby version that handles requests elsewhere fails all entry tests.

--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/CallerChannel.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/CallerChannel.java
@@ -1,16 +1,13 @@
 package io.kumquatspindle.entry.http;
 
 import io.jooby.Context;
-import io.jooby.ForwardingContext;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.util.AttributeKey;
-import java.lang.reflect.Field;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,6 +21,7 @@
 final class CallerChannel {
   private static final AttributeKey<CallerChannel> KEY =
       AttributeKey.valueOf(CallerChannel.class, "caller");
+  private static final String ATTRIBUTE = CallerChannel.class.getName();
   private static final int MAX_PIPELINED = 32;
 
   /** Time after which a caller that takes nothing loses its connection, in seconds. */
@@ -41,9 +39,18 @@
     channel.closeFuture().addListener(f -> closed());
   }
 
-  // Must be called on the connection's event loop.
+  // The first call for a request must be made within the read of its data.
   static CallerChannel of(Context context) {
-    Channel channel = channel(context);
+    CallerChannel known = context.getAttribute(ATTRIBUTE);
+    if (known == null) {
+      known = current();
+      context.setAttribute(ATTRIBUTE, known);
+    }
+    return known;
+  }
+
+  private static CallerChannel current() {
+    Channel channel = CurrentChannel.get();
     CallerChannel known = channel.attr(KEY).get();
     if (known == null) {
       known = new CallerChannel(channel);
@@ -140,23 +147,4 @@
       next.run();
     }
   }
-
-  private static Channel channel(Context context) {
-    Context netty = context;
-    while (netty instanceof ForwardingContext) {
-      netty = (Context) read(netty, ForwardingContext.class, "ctx");
-    }
-    return ((ChannelHandlerContext) read(netty, netty.getClass(), "ctx")).channel();
-  }
-
-  // Jooby 3.0.9 has no public access to the channel.
-  private static Object read(Object object, Class<?> type, String name) {
-    try {
-      Field field = type.getDeclaredField(name);
-      field.setAccessible(true);
-      return field.get(object);
-    } catch (ReflectiveOperationException e) {
-      throw new IllegalStateException("no field " + name + " in " + type.getName(), e);
-    }
-  }
 }
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/HttpServers.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/HttpServers.java
@@ -13,6 +13,8 @@
   static {
     // Jooby would otherwise close its listeners on SIGTERM before running requests have ended.
     System.setProperty("jooby.useShutdownHook", "false");
+    // Lets Netty load CurrentChannel; it reads the property with its first server.
+    System.setProperty("io.netty.bootstrap.extensions", "serviceload");
   }
 
   private HttpServers() {}
