--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/CallerChannel.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/CallerChannel.java
@@ -49,7 +49,8 @@
     return known;
   }
 
-  private static CallerChannel current() {
+  // The connection whose data the calling event loop reads.
+  static CallerChannel current() {
     Channel channel = CurrentChannel.get();
     CallerChannel known = channel.attr(KEY).get();
     if (known == null) {
