--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/CallerChannel.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/http/CallerChannel.java
@@ -1,17 +1,16 @@
 package io.kumquatspindle.entry.http;
 
 import io.jooby.Context;
-import io.jooby.ForwardingContext;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.util.AttributeKey;
-import java.lang.reflect.Field;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -22,6 +21,7 @@
 final class CallerChannel {
   private static final AttributeKey<CallerChannel> KEY =
       AttributeKey.valueOf(CallerChannel.class, "caller");
+  private static final String ATTRIBUTE = CallerChannel.class.getName();
   private static final int MAX_PIPELINED = 32;
 
   /** Time after which a caller that takes nothing loses its connection, in seconds. */
@@ -29,16 +29,29 @@
 
   private final Channel channel;
   private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+  private final List<Runnable> closeListeners = new ArrayList<>();
   private boolean busy;
+  private boolean closed;
 
   private CallerChannel(Channel channel) {
     this.channel = channel;
     channel.config().setOption(ChannelOption.SO_KEEPALIVE, true);
+    channel.closeFuture().addListener(f -> closed());
   }
 
-  // Must be called on the connection's event loop.
+  // The first call for a request must be made within the read of its data.
   static CallerChannel of(Context context) {
-    Channel channel = channel(context);
+    CallerChannel known = context.getAttribute(ATTRIBUTE);
+    if (known == null) {
+      known = current();
+      context.setAttribute(ATTRIBUTE, known);
+    }
+    return known;
+  }
+
+  // The connection whose data the calling event loop reads.
+  static CallerChannel current() {
+    Channel channel = CurrentChannel.get();
     CallerChannel known = channel.attr(KEY).get();
     if (known == null) {
       known = new CallerChannel(channel);
@@ -61,6 +74,9 @@
 
   // Takes the next request when what has been written so far is on its way.
   void ended(Runnable written) {
+    synchronized (closeListeners) {
+      closeListeners.clear();
+    }
     ChannelFuture flushed = channel.writeAndFlush(Unpooled.EMPTY_BUFFER);
     channel.eventLoop().execute(() -> watch(flushed, -1));
     flushed.addListener(
@@ -85,8 +101,26 @@
     }
   }
 
+  // The listener is dropped when the current request ends: a listener on the channel itself would
+  // keep each request in memory for as long as its connection is open.
   void onClosed(Runnable listener) {
-    channel.closeFuture().addListener(f -> listener.run());
+    synchronized (closeListeners) {
+      if (!closed) {
+        closeListeners.add(listener);
+        return;
+      }
+    }
+    listener.run();
+  }
+
+  private void closed() {
+    List<Runnable> listeners;
+    synchronized (closeListeners) {
+      closed = true;
+      listeners = List.copyOf(closeListeners);
+      closeListeners.clear();
+    }
+    listeners.forEach(Runnable::run);
   }
 
   void closeAfterWrites() {
@@ -114,23 +148,4 @@
       next.run();
     }
   }
-
-  private static Channel channel(Context context) {
-    Context netty = context;
-    while (netty instanceof ForwardingContext) {
-      netty = (Context) read(netty, ForwardingContext.class, "ctx");
-    }
-    return ((ChannelHandlerContext) read(netty, netty.getClass(), "ctx")).channel();
-  }
-
-  // Jooby 3.0.9 has no public access to the channel.
-  private static Object read(Object object, Class<?> type, String name) {
-    try {
-      Field field = type.getDeclaredField(name);
-      field.setAccessible(true);
-      return field.get(object);
-    } catch (ReflectiveOperationException e) {
-      throw new IllegalStateException("no field " + name + " in " + type.getName(), e);
-    }
-  }
 }
--- a/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/EntryFixture.java
+++ b/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/EntryFixture.java
@@ -15,6 +15,7 @@
 import io.kumquatspindle.api.model.KeyHash;
 import io.kumquatspindle.api.model.ServiceName;
 import io.kumquatspindle.api.model.VmId;
+import io.kumquatspindle.entry.observe.Traces;
 import io.kumquatspindle.entry.request.RequestLimits;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -35,6 +36,8 @@
   static final ArtifactName MODEL = ArtifactName.of("drafter");
   static final FailureDomain DOMAIN = FailureDomain.of("fd-a");
   static final CustomerName CUSTOMER = CustomerName.of("gasworks");
+  static final int RUNNING_REQUESTS = 40;
+  static final int BODY_BYTES_AT_ONCE = 300_000;
   private static final InetSocketAddress ANY_PORT =
       InetSocketAddress.createUnresolved("127.0.0.1", 0);
 
@@ -49,8 +52,19 @@
   }
 
   EntryFixture(long tokens) {
+    this(tokens, Traces.none());
+  }
+
+  EntryFixture(long tokens, Traces traces) {
     RequestLimits limits =
-        new RequestLimits(65_536, 100, Duration.ofSeconds(20), Duration.ofSeconds(60), 256);
+        new RequestLimits(
+            65_536,
+            100,
+            RUNNING_REQUESTS,
+            BODY_BYTES_AT_ONCE,
+            Duration.ofSeconds(20),
+            Duration.ofSeconds(60),
+            256);
     program =
         EntryProgram.start(
             new EntrySettings(
@@ -62,7 +76,8 @@
                 limits,
                 new EntrySettings.Stop(Duration.ofMillis(100), Duration.ofSeconds(10)),
                 new EntrySettings.Log("text", "info"),
-                new EntrySettings.Trace("none", "")));
+                new EntrySettings.Trace("none", "")),
+            traces);
     control = new FakeControl(program.session(), tokens);
   }
 
