--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/caller/ChatReply.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/caller/ChatReply.java
@@ -44,7 +44,7 @@
     Optional<String> error = Optional.empty();
     boolean complete = false;
     long first = 0;
-    for (String line = source.readUtf8Line(); line != null; line = source.readUtf8Line()) {
+    for (String line = line(source, error); line != null; line = line(source, error)) {
       if (!line.startsWith(DATA)) {
         continue;
       }
@@ -74,6 +74,18 @@
     return status == 200 && complete && text.equals(request.expectedText());
   }
 
+  // After an error event the connection is closed without the end of the body.
+  private static String line(BufferedSource source, Optional<String> error) throws IOException {
+    try {
+      return source.readUtf8Line();
+    } catch (IOException e) {
+      if (error.isPresent()) {
+        return null;
+      }
+      throw e;
+    }
+  }
+
   private static Optional<String> errorCode(JsonNode event) {
     return Optional.of(event.path("error").path("code").asText()).filter(s -> !s.isEmpty());
   }
--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/tickets/OperatorCommand.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/tickets/OperatorCommand.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.OptionalInt;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 
 /** Runs the operators' command line against a test site, as an operator would. */
@@ -20,7 +21,7 @@
 
   private final BuildTree tree;
   private final TestSite site;
-  private int runs;
+  private final AtomicInteger runs = new AtomicInteger();
 
   /**
    * Creates the command.
@@ -41,7 +42,19 @@
    * @throws IOException if the command cannot be run
    */
   public Result file(Ticket ticket) throws IOException {
-    Path file = site.directory().resolve("ticket-" + ticket.number() + ".json");
+    return file("ticket-" + ticket.number(), ticket);
+  }
+
+  /**
+   * Files a ticket from a file with a given name; may be called by several threads.
+   *
+   * @param name name of the file, without extension
+   * @param ticket the ticket
+   * @return what the command answered
+   * @throws IOException if the command cannot be run
+   */
+  public Result file(String name, Ticket ticket) throws IOException {
+    Path file = site.directory().resolve(name + ".json");
     Files.write(file, Json.encode(ticket));
     return run("ticket", "file", file.toString(), "--settings", settings().toString());
   }
@@ -54,9 +67,8 @@
    * @throws IOException if it cannot be run
    */
   public Result run(String... args) throws IOException {
-    runs++;
     ManagedProcess p =
-        ManagedProcess.builder("operator-" + runs, site.directory())
+        ManagedProcess.builder("operator-" + runs.incrementAndGet(), site.directory())
             .args(tree.launcher("kumquatspindle").toString())
             .args(args)
             .start();
@@ -68,7 +80,7 @@
   }
 
   /** Writes the command's settings: the log service and the admin pages of all controls. */
-  private Path settings() throws IOException {
+  private synchronized Path settings() throws IOException {
     String admins =
         site.vms().stream()
             .map(SiteVm::controlAdmin)
--- /dev/null
+++ b/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/system/ExposureTests.java
@@ -0,0 +1,141 @@
+package io.kumquatspindle.bench.system;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.kumquatspindle.api.config.CustomerSpec;
+import io.kumquatspindle.api.config.KeySpec;
+import io.kumquatspindle.api.config.ModelSpec;
+import io.kumquatspindle.api.config.ServiceSpec;
+import io.kumquatspindle.api.model.ArtifactName;
+import io.kumquatspindle.api.model.CustomerName;
+import io.kumquatspindle.api.model.EndpointName;
+import io.kumquatspindle.api.model.KeyHash;
+import io.kumquatspindle.api.model.ServiceName;
+import io.kumquatspindle.bench.history.ExposureChecker;
+import io.kumquatspindle.bench.history.ExposureChecker.Seen;
+import io.kumquatspindle.bench.processes.BuildTree;
+import io.kumquatspindle.bench.processes.SiteVm;
+import io.kumquatspindle.bench.processes.TestSite;
+import io.kumquatspindle.bench.tickets.OperatorCommand;
+import io.kumquatspindle.bench.tickets.SiteTickets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Proof of C4 and C5 with three customers, each with a model and a service of its own. */
+@DisplayName("Endpoints")
+class ExposureTests {
+  private static final int CUSTOMERS = 3;
+  private static final Duration LIMIT = Duration.ofSeconds(10);
+
+  @TempDir Path dir;
+
+  @Test
+  @DisplayName("see no key, and run requests only for the customer whose key came with them")
+  void mixedRun() throws Exception {
+    try (TestSite site =
+        TestSite.builder(BuildTree.own(), dir)
+            .vmsPerDomain(2)
+            .endpoints(2, CUSTOMERS)
+            .standIns("engines.first_token_ms", 5)
+            .standIns("engines.per_token_ms", 2)
+            .start()) {
+      configure(site);
+      List<MixedCaller> callers = new ArrayList<>();
+      for (SiteVm vm : site.vms()) {
+        for (int c = 1; c <= CUSTOMERS; c++) {
+          callers.add(new MixedCaller(vm, c, CUSTOMERS));
+        }
+      }
+      callers.forEach(MixedCaller::start);
+      for (MixedCaller c : callers) {
+        c.join();
+      }
+      Map<String, ExposureChecker.Sent> sent = new HashMap<>();
+      Map<String, String> idOfBody = new HashMap<>();
+      Map<String, Map<String, Integer>> statuses = new TreeMap<>();
+      for (MixedCaller c : callers) {
+        sent.putAll(c.sent());
+        idOfBody.putAll(c.idOfBody());
+        c.statuses()
+            .forEach(
+                (kind, s) ->
+                    s.forEach(
+                        (status, n) ->
+                            statuses
+                                .computeIfAbsent(kind, k -> new TreeMap<>())
+                                .merge(status, n, Integer::sum)));
+      }
+      List<Seen> seen = seen(site, idOfBody);
+      assertEquals(List.of(), checker().violations(sent, seen));
+      assertEquals(
+          MixedCaller.EXPECTED,
+          statuses.keySet().stream()
+              .collect(Collectors.toMap(k -> k, k -> Set.copyOf(statuses.get(k).keySet()))));
+      assertTrue(seen.size() > 100, "only " + seen.size() + " requests reached an endpoint");
+    }
+  }
+
+  private static ExposureChecker checker() {
+    Map<String, Set<String>> allowed = new HashMap<>();
+    Set<String> keys = new HashSet<>();
+    for (int c = 1; c <= CUSTOMERS; c++) {
+      allowed.put("c" + c, Set.of("m" + c, "service-" + c));
+      keys.add(MixedCaller.key(c));
+    }
+    return new ExposureChecker(keys, allowed);
+  }
+
+  private static void configure(TestSite site) throws Exception {
+    OperatorCommand operator = new OperatorCommand(BuildTree.own(), site);
+    List<ModelSpec> models = new ArrayList<>();
+    List<CustomerSpec> customers = new ArrayList<>();
+    List<KeySpec> keys = new ArrayList<>();
+    List<ServiceSpec> services = new ArrayList<>();
+    for (int c = 1; c <= CUSTOMERS; c++) {
+      ArtifactName model = ArtifactName.of("m" + c);
+      ServiceName service = ServiceName.of("s" + c);
+      models.add(new ModelSpec(model, 1_000, 1));
+      customers.add(TestTickets.customer("c" + c, 900, Set.of(model), Set.of(service)));
+      KeyHash hash = KeyHash.ofKey(MixedCaller.key(c));
+      keys.add(new KeySpec(hash, CustomerName.of("c" + c), false));
+      services.add(
+          new ServiceSpec(
+              service, List.of(EndpointName.of("service-" + c)), false, 1, Set.of("call_id")));
+    }
+    assertTrue(operator.file(SiteTickets.first(site, "key-other", models)).succeeded());
+    assertTrue(operator.file(TestTickets.customers(2, customers, keys, services)).succeeded());
+    for (SiteVm vm : site.vms()) {
+      Waiting.until(
+          "the keys", LIMIT, () -> FleetObserver.ask(vm, MixedCaller.key(1)).status() == 200);
+    }
+  }
+
+  private static List<Seen> seen(TestSite site, Map<String, String> idOfBody) throws Exception {
+    List<Seen> seen = new ArrayList<>();
+    for (String engine : site.engines()) {
+      for (JsonNode r : Http.json(site.url(engine).resolve("/history")).path("requests")) {
+        String id = idOfBody.getOrDefault(r.path("bodySha256").asText(), "changed body");
+        seen.add(new Seen(engine, r.path("model").asText(), id, r.toString()));
+      }
+    }
+    for (String service : site.services()) {
+      for (JsonNode r : Http.json(site.url(service).resolve("/history")).path("calls")) {
+        seen.add(new Seen(service, service, r.path("callId").asText(), r.toString()));
+      }
+    }
+    return seen;
+  }
+}
--- /dev/null
+++ b/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/system/KeyTests.java
@@ -0,0 +1,218 @@
+package io.kumquatspindle.bench.system;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kumquatspindle.api.config.KeySpec;
+import io.kumquatspindle.api.config.ModelSpec;
+import io.kumquatspindle.api.config.Ticket;
+import io.kumquatspindle.api.model.ArtifactName;
+import io.kumquatspindle.api.model.FailureDomain;
+import io.kumquatspindle.api.model.KeyHash;
+import io.kumquatspindle.bench.caller.Caller;
+import io.kumquatspindle.bench.caller.ChatReply;
+import io.kumquatspindle.bench.caller.ChatRequest;
+import io.kumquatspindle.bench.history.History;
+import io.kumquatspindle.bench.history.TicketChecker;
+import io.kumquatspindle.bench.processes.BuildTree;
+import io.kumquatspindle.bench.processes.SiteVm;
+import io.kumquatspindle.bench.processes.TestSite;
+import io.kumquatspindle.bench.tickets.OperatorCommand;
+import io.kumquatspindle.bench.tickets.SiteTickets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.MethodOrderer;
+import org.junit.jupiter.api.Order;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestMethodOrder;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Proof of C6 with two failure domains of two VMs each. */
+@DisplayName("Keys")
+@TestMethodOrder(MethodOrderer.OrderAnnotation.class)
+class KeyTests {
+  private static final Duration BOUND = Duration.ofSeconds(3);
+  private static final int GRACE_SECONDS = 6;
+  // A long poll of the log lasts 2 s and freshness is told each second, so the last confirmation
+  // may be this old when the links are cut.
+  private static final Duration CONFIRMATION_AGE = Duration.ofMillis(3_500);
+  private static final FailureDomain A = FailureDomain.of("a");
+  private static final String MODEL = "drafts";
+  private static final String KEY = "key-withdrawn-later";
+  private static final String SHORT_GRACE = "key-short-grace";
+  private static final int TOKENS = 200;
+
+  @TempDir static Path dir;
+  private static TestSite site;
+  private static OperatorCommand operator;
+
+  @BeforeAll
+  static void startSite() throws Exception {
+    site =
+        TestSite.builder(BuildTree.own(), dir)
+            .domains("a", "b")
+            .vmsPerDomain(2)
+            .endpoints(1, 1)
+            .platformRelays()
+            .peerRelays()
+            .standIns("engines.per_token_ms", 100)
+            .standIns("engines.answer_tokens", TOKENS)
+            .standIns("services.delay_ms", 6_000)
+            .start();
+    operator = new OperatorCommand(BuildTree.own(), site);
+    ModelSpec model = new ModelSpec(ArtifactName.of(MODEL), 1_000, 1);
+    file(SiteTickets.first(site, KEY, List.of(model)));
+    var customer = TestTickets.customer("customer-2", GRACE_SECONDS, Set.of(), Set.of());
+    var key = new KeySpec(KeyHash.ofKey(SHORT_GRACE), customer.name(), false);
+    file(TestTickets.customers(2, List.of(customer), List.of(key), List.of()));
+    for (SiteVm vm : site.vms()) {
+      Waiting.until(
+          "the key at " + vm.id(), BOUND, () -> FleetObserver.ask(vm, SHORT_GRACE).status() == 200);
+    }
+  }
+
+  @AfterAll
+  static void stopSite() {
+    site.close();
+  }
+
+  private static void file(Ticket ticket) throws Exception {
+    OperatorCommand.Result r = operator.file(ticket);
+    assertEquals(0, r.status().orElse(-1), r.output());
+  }
+
+  @Test
+  @Order(1)
+  @DisplayName("serve an isolated failure domain for the grace time, and no longer")
+  void grace() throws Exception {
+    site.links().isolate(A);
+    long cut = System.nanoTime();
+    List<SiteVm> inside = site.vms().stream().filter(v -> v.domain().equals(A)).toList();
+    long stops = Duration.ofSeconds(GRACE_SECONDS).toNanos();
+    for (SiteVm vm : inside) {
+      assertEquals(200, FleetObserver.ask(vm, SHORT_GRACE).status(), vm.id().value());
+    }
+    for (SiteVm vm : inside) {
+      Waiting.until(
+          "the end of the grace time at " + vm.id(),
+          Duration.ofSeconds(GRACE_SECONDS).plus(BOUND),
+          () -> !served(vm, cut, stops - CONFIRMATION_AGE.toNanos()));
+    }
+    for (SiteVm vm : site.vms()) {
+      Http.Reply r = FleetObserver.ask(vm, SHORT_GRACE);
+      assertEquals(vm.domain().equals(A) ? "stale_configuration" : "", r.errorCode());
+      // The grace time belongs to the customer; another one has a longer one.
+      assertEquals(200, FleetObserver.ask(vm, KEY).status());
+    }
+    site.links().heal();
+    for (SiteVm vm : inside) {
+      Waiting.until(
+          "service after the partition at " + vm.id(),
+          Duration.ofSeconds(10),
+          () -> FleetObserver.ask(vm, SHORT_GRACE).status() == 200);
+    }
+  }
+
+  private static boolean served(SiteVm vm, long cutNanos, long servedForNanos) {
+    Http.Reply r = FleetObserver.ask(vm, SHORT_GRACE);
+    boolean served = r.status() == 200;
+    if (!served) {
+      assertEquals("stale_configuration", r.errorCode(), r.toString());
+      assertTrue(System.nanoTime() - cutNanos > servedForNanos, "refused too early at " + vm.id());
+    }
+    return served;
+  }
+
+  @Test
+  @Order(2)
+  @DisplayName("stop working in time on open connections and streams, and let calls finish")
+  void withdrawal() throws Exception {
+    History history = new History();
+    List<OpenConnection> open = new ArrayList<>();
+    List<CompletableFuture<ChatReply>> streams = new ArrayList<>();
+    List<CompletableFuture<Http.Reply>> calls = new ArrayList<>();
+    try (Caller caller = new Caller(Duration.ofSeconds(30));
+        FleetObserver observer = new FleetObserver(history, site.vms())) {
+      ChatRequest warm = new ChatRequest(MODEL, "warm", 1);
+      assertTrue(caller.send(site.vms().get(0).callers(), Optional.of(KEY), warm).answers(warm));
+      for (SiteVm vm : site.vms()) {
+        OpenConnection c = new OpenConnection(vm.callers(), KEY);
+        assertEquals(200, c.ask().status());
+        open.add(c);
+        ChatRequest stream = new ChatRequest(MODEL, "stream at " + vm.id(), TOKENS);
+        streams.add(caller.sendAsync(vm.callers(), Optional.of(KEY), stream));
+        calls.add(CompletableFuture.supplyAsync(() -> call(vm)));
+      }
+      Waiting.until("all streams and calls run", BOUND, KeyTests::allRun);
+      observer.withdrawal(3, KEY);
+      history.record(
+          "operator",
+          TicketChecker.FILE,
+          "3",
+          () -> {
+            file(SiteTickets.withdrawKey(3, KEY));
+            return "withdrawn";
+          });
+      long filed = System.nanoTime();
+      for (CompletableFuture<ChatReply> s : streams) {
+        ChatReply r = s.get();
+        assertEquals(Optional.of("key_withdrawn"), r.errorCode(), r.toString());
+        assertTrue(r.firstTokenNanos() > 0 && !r.complete(), r.toString());
+        assertTrue(r.endNanos() - filed < BOUND.toNanos(), "a stream went on for too long");
+      }
+      for (OpenConnection c : open) {
+        Waiting.until(
+            "the refusal on an open connection",
+            BOUND,
+            () -> c.ask().errorCode().equals("key_withdrawn"));
+      }
+      for (CompletableFuture<Http.Reply> c : calls) {
+        assertEquals(200, c.get().status(), c.get().toString());
+      }
+      for (SiteVm vm : site.vms()) {
+        awaitObservation(history, vm, filed + BOUND.toNanos());
+      }
+    } finally {
+      for (OpenConnection c : open) {
+        c.close();
+      }
+    }
+    Set<String> vms = site.vms().stream().map(v -> v.id().value()).collect(Collectors.toSet());
+    assertEquals(List.of(), new TicketChecker(BOUND, vms).violations(history));
+  }
+
+  private static Http.Reply call(SiteVm vm) {
+    return Http.post(
+        vm.callers().resolve("/services/dispatch/notices"),
+        Http.key(KEY),
+        "{\"call_id\":\"" + vm.id() + "\"}");
+  }
+
+  private static boolean allRun() throws Exception {
+    int running = 0;
+    for (var request : Http.json(site.url("engine-1").resolve("/history")).path("requests")) {
+      running += request.path("outcome").asText().equals("running") ? 1 : 0;
+    }
+    int calls = Http.json(site.url("service-1").resolve("/report")).path("running").asInt();
+    return running == site.vms().size() && calls == site.vms().size();
+  }
+
+  private static void awaitObservation(History history, SiteVm vm, long afterNanos)
+      throws Exception {
+    Waiting.until(
+        "an observation at " + vm.id(),
+        BOUND.multipliedBy(2),
+        () ->
+            history.of(TicketChecker.OBSERVE).stream()
+                .anyMatch(o -> o.actor().equals(vm.id().value()) && o.beganAfter(afterNanos)));
+  }
+}
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/config/ConfigurationController.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/config/ConfigurationController.java
@@ -102,8 +102,9 @@
     } else if (event instanceof ConfigurationEvent.PeerConfirmed p) {
       confirmedAt = Math.max(confirmedAt, confirmedByPeer(p));
     }
+    boolean first = !state.everConfirmed() && confirmedAt != Long.MIN_VALUE;
     publish(confirmedAt);
-    if (changed) {
+    if (changed || first) {
       announce();
     }
   }
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/entry/EntrySessions.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/entry/EntrySessions.java
@@ -24,7 +24,16 @@
   private final Supplier<EntryMessage.PlacementUpdate> placement;
   private final ReportBoard reports;
   private final MonotonicClock clock;
-  private final Map<Link, EntryHello> sessions = new ConcurrentHashMap<>();
+  private final Map<Link, Session> sessions = new ConcurrentHashMap<>();
+
+  private static final class Session {
+    private final EntryHello hello;
+    private volatile long sentOffset = -1;
+
+    private Session(EntryHello hello) {
+      this.hello = hello;
+    }
+  }
 
   /**
    * Creates the sessions.
@@ -56,9 +65,10 @@
       link.close("protocol " + hello.protocol() + " is not supported");
       return;
     }
-    sessions.put(link, hello);
+    Session session = new Session(hello);
+    sessions.put(link, session);
     logger.atInfo().log("entry of %s connected, incarnation %s", hello.vm(), hello.incarnation());
-    link.send(update(configuration.state()));
+    sendConfiguration(link, session, configuration.state());
     link.send(placement.get());
     link.send(new EntryMessage.EndpointLoads(reports.loads()));
   }
@@ -70,7 +80,7 @@
    * @return the entry program that used it
    */
   public Optional<EntryHello> closed(Link link) {
-    return Optional.ofNullable(sessions.remove(link));
+    return Optional.ofNullable(sessions.remove(link)).map(s -> s.hello);
   }
 
   /**
@@ -80,7 +90,7 @@
    * @return its VM, or empty for other connections
    */
   public Optional<VmId> vm(Link link) {
-    return Optional.ofNullable(sessions.get(link)).map(EntryHello::vm);
+    return Optional.ofNullable(sessions.get(link)).map(s -> s.hello.vm());
   }
 
   /**
@@ -89,12 +99,13 @@
    * @param state the configuration
    */
   public void configurationInForce(ConfigurationState state) {
-    broadcast(update(state));
+    sessions.forEach((link, session) -> sendConfiguration(link, session, state));
   }
 
-  /** Sends how recently the configuration was confirmed. */
+  /** Sends how recently the configuration was confirmed, and a configuration not yet taken. */
   public void sendFreshness() {
     ConfigurationState s = configuration.state();
+    configurationInForce(s);
     broadcast(new EntryMessage.Freshness(s.nextOffset(), s.confirmedAgoMs(clock.nowMs())));
   }
 
@@ -128,6 +139,14 @@
     return sessions.size();
   }
 
+  // A configuration that was never confirmed may lack tickets. An entry program that judged keys by
+  // it would call valid keys unknown, so it gets none until the first confirmation.
+  private void sendConfiguration(Link link, Session session, ConfigurationState s) {
+    if (s.everConfirmed() && session.sentOffset < s.nextOffset() && link.send(update(s))) {
+      session.sentOffset = s.nextOffset();
+    }
+  }
+
   private EntryMessage.ConfigUpdate update(ConfigurationState s) {
     return new EntryMessage.ConfigUpdate(
         s.nextOffset(), s.confirmedAgoMs(clock.nowMs()), s.configuration());
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/log/StreamFollower.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/log/StreamFollower.java
@@ -79,6 +79,10 @@
       logger.atFine().log("stream %s: owner is behind, offering the batch again", stream.path());
       pause(BUSY_RETRY_MS);
     }
+    if (listener.nextOffset() < batch.earliest()) {
+      // Nothing can be applied before a snapshot closes the gap, and the log answers at once.
+      pause(MIN_RETRY_MS);
+    }
   }
 
   private void pause(long ms) {
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/snapshot/SnapshotService.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/snapshot/SnapshotService.java
@@ -94,6 +94,7 @@
 
   private void deliver(Snapshot s) {
     newestMs.merge(s.stream(), s.timeMs(), Math::max);
+    startedMs.remove(s.stream());
     StreamOwner owner = owners.get(s.stream());
     if (owner != null) {
       owner.offer(new StreamEvent.SnapshotFound(s.offset(), s.json()));
@@ -116,12 +117,17 @@
     StreamOwner owner = owners.get(stream);
     OptionalLong oldest = owner.oldestRecordMs();
     boolean underWay = now - startedMs.getOrDefault(stream, 0L) < WRITE_TIMEOUT_MS;
-    if (owner.nextOffset() == 0 || oldest.isEmpty() || underWay) {
+    if (owner.nextOffset() == 0 || underWay) {
       return false;
     }
     Long newest = newestMs.get(stream);
-    OptionalLong n = newest == null ? OptionalLong.empty() : OptionalLong.of(newest);
-    return schedule.delayMs(n, oldest.getAsLong(), now) == 0;
+    if (newest != null) {
+      // Counts also for a VM that has seen no record, or nobody would renew the snapshot once all
+      // records have expired and all VMs have been replaced.
+      return schedule.delayMs(OptionalLong.of(newest), newest, now) == 0;
+    }
+    // Without records and snapshots in the log, the state came from a peer.
+    return oldest.isEmpty() || schedule.delayMs(OptionalLong.empty(), oldest.getAsLong(), now) == 0;
   }
 
   // Called on the owner's thread; appending does not block it.
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/RunningAttempts.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/RunningAttempts.java
@@ -37,7 +37,7 @@
     attempts.remove(attempt);
   }
 
-  /** Ends streams whose endpoint has stalled; call it each {@link #TICK_MS}. */
+  /** Ends attempts whose endpoint stalls or whose key was withdrawn; call it each {@link #TICK_MS}. */
   public void tick() {
     long now = clock.nowMs();
     for (RunningAttempt a : attempts) {
@@ -45,6 +45,8 @@
         a.abort(Abort.STALLED);
       }
     }
+    // An attempt that was added while a withdrawal was applied missed the check of that change.
+    checkKeys();
   }
 
   /** Ends all attempts because the program stops. */
