Format the check of running attempts

Cause: spotless:check failed in the entry module on the Javadoc of RunningAttempts.tick. Change: spotless:apply. Tests of entry before: 32 run, 0 failures, with the format check failing afterwards.

--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/RunningAttempts.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/RunningAttempts.java
@@ -37,7 +37,9 @@
     attempts.remove(attempt);
   }
 
-  /** Ends attempts whose endpoint stalls or whose key was withdrawn; call it each {@link #TICK_MS}. */
+  /**
+   * Ends attempts whose endpoint stalls or whose key was withdrawn; call it each {@link #TICK_MS}.
+   */
   public void tick() {
     long now = clock.nowMs();
     for (RunningAttempt a : attempts) {
