--- /dev/null
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/check/package-info.java
@@ -0,0 +1,2 @@
+/** Checkers of whole runs: recorded histories against small sequential models. */
+package io.kumquatspindle.bench.check;
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccounts.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccounts.java
@@ -11,8 +11,14 @@
 
 /** Token accounts of all customers on this VM, refilled from control. */
 public final class TokenAccounts {
-  /** Time that a request waits for control's answer, in milliseconds. */
-  static final long ASK_TIMEOUT_MS = 100;
+  /**
+   * Longest time that a request waits for tokens, in milliseconds. Entry goes to another control 2
+   * s after its own has become unreachable; a shorter wait refuses requests within the rate then.
+   */
+  static final long MAX_WAIT_MS = 2_500;
+
+  // A question that found no control is asked again after this time.
+  private static final long ASK_AGAIN_MS = 100;
 
   /** Period of {@link #tick}; a refill covers the demand of one period. */
   public static final long TICK_MS = 250;
@@ -37,19 +43,19 @@
    *
    * @param customer the customer
    * @param tokens tokens to take, at least 0
+   * @param limitMs time until the request's deadline, in milliseconds
    * @return completes with empty when they are taken, or with the time after which the caller may
    *     try again, in milliseconds; never fails
    */
-  public CompletableFuture<Optional<Long>> take(CustomerName customer, long tokens) {
+  public CompletableFuture<Optional<Long>> take(CustomerName customer, long tokens, long limitMs) {
     TokenAccount account = account(customer);
     Taker taker = account.take(tokens);
     if (taker.taken().isDone()) {
       refill(customer, account);
     } else {
-      CompletableFuture<Optional<Long>> shortage = ask(customer, account, account.missing(taker));
-      // A full grant can have served an earlier request, whose own grant is still on its way.
-      shortage.thenAccept(s -> s.ifPresent(retryMs -> account.refuse(taker, retryMs)));
-      CompletableFuture.delayedExecutor(ASK_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+      askFor(customer, account, taker);
+      long waitMs = Math.min(limitMs, MAX_WAIT_MS);
+      CompletableFuture.delayedExecutor(waitMs, TimeUnit.MILLISECONDS)
           .execute(() -> account.refuse(taker, RETRY_AFTER_MS));
     }
     return taker.taken();
@@ -88,6 +94,28 @@
     }
   }
 
+  private void askFor(CustomerName customer, TokenAccount account, Taker taker) {
+    long tokens = account.missing(taker);
+    control
+        .askTokens(customer, tokens)
+        .whenComplete(
+            (grant, failure) -> {
+              if (failure != null) {
+                CompletableFuture.delayedExecutor(ASK_AGAIN_MS, TimeUnit.MILLISECONDS)
+                    .execute(() -> askAgain(customer, account, taker));
+              } else {
+                // A full grant can have served an earlier request, whose own is still on its way.
+                credit(account, grant, tokens).ifPresent(ms -> account.refuse(taker, ms));
+              }
+            });
+  }
+
+  private void askAgain(CustomerName customer, TokenAccount account, Taker taker) {
+    if (!taker.taken().isDone()) {
+      askFor(customer, account, taker);
+    }
+  }
+
   // Completes with empty after a full grant, otherwise with the time after which to try again. A
   // grant that comes after the requests' timeout is added to the account too.
   private CompletableFuture<Optional<Long>> ask(
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/QuotaFilter.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/QuotaFilter.java
@@ -2,6 +2,7 @@
 
 import io.kumquatspindle.api.config.CustomerSpec;
 import io.kumquatspindle.api.error.ErrorKind;
+import io.kumquatspindle.api.time.MonotonicClock;
 import io.kumquatspindle.entry.control.KeyResult;
 import io.kumquatspindle.entry.control.TokenAccounts;
 import io.kumquatspindle.entry.observe.EntryMetrics;
@@ -13,11 +14,14 @@
 final class QuotaFilter implements RequestFilter {
   private final TokenAccounts accounts;
   private final EntryMetrics metrics;
+  private final MonotonicClock clock;
   private final Executor executor;
 
-  QuotaFilter(TokenAccounts accounts, EntryMetrics metrics, Executor executor) {
+  QuotaFilter(
+      TokenAccounts accounts, EntryMetrics metrics, MonotonicClock clock, Executor executor) {
     this.accounts = accounts;
     this.metrics = metrics;
+    this.clock = clock;
     this.executor = executor;
   }
 
@@ -45,7 +49,8 @@
 
   private void take(
       RequestContext context, CustomerSpec customer, long tokens, Consumer<RequestContext> next) {
-    var taken = accounts.take(customer.name(), tokens);
+    long left = Math.max(1, context.deadlineMs() - clock.nowMs());
+    var taken = accounts.take(customer.name(), tokens, left);
     if (taken.isDone()) {
       admit(context, customer, tokens, taken.join(), next);
     } else {
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/RequestHandler.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/request/RequestHandler.java
@@ -55,7 +55,7 @@
                 new LookupFilter(configuration, limits.defaultMaxTokens()),
                 new ModelListFilter(configuration),
                 new DeadlineFilter(limits.defaultDeadline(), limits.maxDeadline()),
-                new QuotaFilter(accounts, env.metrics(), env.executor()),
+                new QuotaFilter(accounts, env.metrics(), env.clock(), env.executor()),
                 new WaitFilter(room),
                 new IntentFilter(control, env.clock(), env.executor()),
                 dispatch));
--- a/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/control/ControlSessionTests.java
+++ b/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/control/ControlSessionTests.java
@@ -1,6 +1,7 @@
 package io.kumquatspindle.entry.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.kumquatspindle.api.config.Configuration;
@@ -53,6 +54,8 @@
         Limits.NONE);
   }
 
+  private static final long WAIT_MS = 100;
+
   private Optional<ErrorKind> refusal() {
     return views
         .configuration()
@@ -98,7 +101,7 @@
   void keepsLateGrant() throws Exception {
     session.connected(sent::add);
     TokenAccounts accounts = new TokenAccounts(session);
-    Optional<Long> refused = accounts.take(CUSTOMER, 10).get(2, TimeUnit.SECONDS);
+    Optional<Long> refused = accounts.take(CUSTOMER, 10, WAIT_MS).get(2, TimeUnit.SECONDS);
     assertTrue(refused.isPresent());
     TokenRequest request = (TokenRequest) sent.get(1);
     TokenGrant late = new TokenGrant(request.id(), CUSTOMER, 10, 0);
@@ -110,13 +113,36 @@
     assertEquals(new TokenReturn(CUSTOMER, 10), sent.get(sent.size() - 1));
   }
 
+  @Test
+  @DisplayName("a request waits while control is gone and gets its tokens when it is back")
+  void waitsForControl() throws Exception {
+    TokenAccounts accounts = new TokenAccounts(session);
+    CompletableFuture<Optional<Long>> taken = accounts.take(CUSTOMER, 10, 2_000);
+    assertFalse(taken.isDone());
+    session.connected(
+        m -> {
+          if (m instanceof TokenRequest r) {
+            session.received(new TokenGrant(r.id(), CUSTOMER, r.tokens(), 0));
+          }
+          return true;
+        });
+    assertEquals(Optional.empty(), taken.get(2, TimeUnit.SECONDS));
+  }
+
+  @Test
+  @DisplayName("a request that gets no tokens is refused at its deadline")
+  void refusesAtDeadline() throws Exception {
+    TokenAccounts accounts = new TokenAccounts(session);
+    assertTrue(accounts.take(CUSTOMER, 10, 1).get(1, TimeUnit.SECONDS).isPresent());
+  }
+
   @Test
   @DisplayName("grants that arrive in another order than the requests serve all of them")
   void servesTakersInOrder() {
     session.connected(sent::add);
     TokenAccounts accounts = new TokenAccounts(session);
-    CompletableFuture<Optional<Long>> first = accounts.take(CUSTOMER, 10);
-    CompletableFuture<Optional<Long>> second = accounts.take(CUSTOMER, 5);
+    CompletableFuture<Optional<Long>> first = accounts.take(CUSTOMER, 10, WAIT_MS);
+    CompletableFuture<Optional<Long>> second = accounts.take(CUSTOMER, 5, WAIT_MS);
     for (int i = 2; i >= 1; i--) {
       TokenRequest ask = (TokenRequest) sent.get(i);
       assertEquals(i == 1 ? 10 : 5, ask.tokens());
