--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccount.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccount.java
@@ -16,7 +16,15 @@
  */
 final class TokenAccount {
   /** A request that waits for tokens; completes with empty when it has them. */
-  record Taker(long tokens, CompletableFuture<Optional<Long>> taken) {}
+  record Taker(long tokens, CompletableFuture<Optional<Shortage>> taken) {}
+
+  /**
+   * Why a taker got nothing.
+   *
+   * @param retryMs when to try again, in milliseconds
+   * @param unanswered whether control has not answered
+   */
+  record Shortage(long retryMs, boolean unanswered) {}
 
   private final ArrayDeque<Taker> takers = new ArrayDeque<>();
   private final ArrayDeque<Grant> grants = new ArrayDeque<>();
@@ -45,13 +53,13 @@
   }
 
   // Ends the wait of a taker that has got nothing.
-  void refuse(Taker taker, long retryAfterMs, long nowMs) {
+  void refuse(Taker taker, Shortage shortage, long nowMs) {
     boolean waited;
     synchronized (this) {
       waited = takers.remove(taker);
     }
     if (waited) {
-      taker.taken().complete(Optional.of(retryAfterMs));
+      taker.taken().complete(Optional.of(shortage));
       // The next one may need less.
       give(0, nowMs, nowMs);
     }
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccounts.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccounts.java
@@ -4,30 +4,46 @@
 import io.kumquatspindle.api.model.CustomerName;
 import io.kumquatspindle.api.time.MonotonicClock;
 import io.kumquatspindle.engine.quota.QuotaSettings;
+import io.kumquatspindle.entry.control.TokenAccount.Shortage;
 import io.kumquatspindle.entry.control.TokenAccount.Taker;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 
 /** Token accounts of all customers on this VM, refilled from control. */
 public final class TokenAccounts {
-  /** Time that a request waits for control's answer, in milliseconds; a grant ends after it. */
-  static final long ASK_TIMEOUT_MS = 290;
-
-  /** Longest time that a request waits for a shortage to end, in milliseconds. */
-  static final long MAX_WAIT_MS = 800;
-
   /** Period of {@link #tick}; a refill covers the demand of one period. */
   public static final long TICK_MS = 250;
 
-  // Told to a caller whose tokens control could not say anything about.
-  private static final long RETRY_AFTER_MS = 1_000;
+  /**
+   * Longest time that a request waits for an answer of control, in milliseconds. Entry goes to
+   * another control 2 s after its own has become unreachable; a shorter wait refuses requests
+   * within the rate then.
+   */
+  static final long MAX_UNANSWERED_MS = 2_500;
+
+  /**
+   * Longest time that a request waits for a shortage to end, in milliseconds. The tokens may be on
+   * their way from another VM, and a refusal would hit a customer that is inside its rate.
+   */
+  static final long MAX_SHORT_MS = 800;
 
   // Less than control counts them as out, for the time that the grant is on its way.
   private static final long GRANT_VALID_MS = QuotaSettings.DEFAULT.grantValidMs() - 10;
 
+  // A question that control has not answered by then is asked again, since its grant has ended.
+  private static final long ASK_TIMEOUT_MS = GRANT_VALID_MS;
+
+  private static final long ASK_AGAIN_MS = 100;
+
+  // Told to a caller whose tokens control could not say anything about.
+  private static final long RETRY_AFTER_MS = 1_000;
+
+  private static final Shortage NO_ANSWER = new Shortage(ASK_AGAIN_MS, true);
+
   private final ControlClient control;
   private final MonotonicClock clock;
   private final Map<CustomerName, TokenAccount> accounts = new ConcurrentHashMap<>();
@@ -44,48 +60,50 @@
   }
 
   /**
-   * Takes tokens, after a question to control if the account is dry.
+   * Takes tokens, after questions to control if the account is dry.
    *
    * @param customer the customer
    * @param tokens tokens to take, at least 0
+   * @param limitMs longest time to wait, in milliseconds
    * @return completes with empty when they are taken, or with the time after which the caller may
    *     try again, in milliseconds; never fails
    */
-  public CompletableFuture<Optional<Long>> take(CustomerName customer, long tokens) {
+  public CompletableFuture<Optional<Long>> take(CustomerName customer, long tokens, long limitMs) {
     CompletableFuture<Optional<Long>> result = new CompletableFuture<>();
-    attempt(customer, tokens, clock.nowMs() + MAX_WAIT_MS, result);
+    attempt(new Wait(customer, tokens, limitMs, result), 0);
     return result;
   }
 
-  // A shortage that ends soon is waited for: the tokens may be on their way from another VM, and a
-  // refusal would hit a customer that is inside its rate.
-  private void attempt(
-      CustomerName customer, long tokens, long untilMs, CompletableFuture<Optional<Long>> result) {
-    takeOnce(customer, tokens)
+  private void attempt(Wait wait, long waitedMs) {
+    takeOnce(wait.customer(), wait.tokens())
         .thenAccept(
-            shortage -> {
-              long retryMs = shortage.orElse(0L);
-              if (shortage.isEmpty() || clock.nowMs() + retryMs > untilMs) {
-                result.complete(shortage);
-              } else {
-                CompletableFuture.delayedExecutor(retryMs, TimeUnit.MILLISECONDS)
-                    .execute(() -> attempt(customer, tokens, untilMs, result));
-              }
-            });
+            shortage ->
+                shortage.ifPresentOrElse(
+                    s -> attemptLater(wait, waitedMs, s),
+                    () -> wait.result().complete(Optional.empty())));
   }
 
-  private CompletableFuture<Optional<Long>> takeOnce(CustomerName customer, long tokens) {
+  private void attemptLater(Wait wait, long waitedMs, Shortage s) {
+    long most = Math.min(wait.limitMs(), s.unanswered() ? MAX_UNANSWERED_MS : MAX_SHORT_MS);
+    long waitMs = waitedMs + s.retryMs();
+    if (waitMs <= most) {
+      delayed(s.retryMs()).execute(() -> attempt(wait, waitMs));
+    } else {
+      wait.result().complete(Optional.of(s.unanswered() ? RETRY_AFTER_MS : s.retryMs()));
+    }
+  }
+
+  private CompletableFuture<Optional<Shortage>> takeOnce(CustomerName customer, long tokens) {
     TokenAccount account = account(customer);
     Taker taker = account.take(tokens, clock.nowMs());
     if (taker.taken().isDone()) {
       refill(customer, account);
     } else {
-      CompletableFuture<Optional<Long>> shortage = ask(customer, account, account.missing(taker));
       // A full grant can have served an earlier request, whose own grant is still on its way.
-      shortage.thenAccept(
-          s -> s.ifPresent(retryMs -> account.refuse(taker, retryMs, clock.nowMs())));
-      CompletableFuture.delayedExecutor(ASK_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-          .execute(() -> account.refuse(taker, RETRY_AFTER_MS, clock.nowMs()));
+      ask(customer, account, account.missing(taker))
+          .thenAccept(s -> s.ifPresent(x -> account.refuse(taker, x, clock.nowMs())));
+      Shortage late = new Shortage(ASK_TIMEOUT_MS, true);
+      delayed(ASK_TIMEOUT_MS).execute(() -> account.refuse(taker, late, clock.nowMs()));
     }
     return taker.taken();
   }
@@ -124,24 +142,34 @@
     }
   }
 
-  // Completes with empty after a full grant, otherwise with the time after which to try again. A
-  // grant that comes after the requests' timeout is added to the account too.
-  private CompletableFuture<Optional<Long>> ask(
+  // Completes with empty after a full grant. A grant that comes late is added to the account too,
+  // from where it goes back to control.
+  private CompletableFuture<Optional<Shortage>> ask(
       CustomerName customer, TokenAccount account, long tokens) {
     long until = clock.nowMs() + GRANT_VALID_MS;
     return control
         .askTokens(customer, tokens)
         .thenApply(grant -> credit(account, grant, tokens, until))
-        .exceptionally(e -> Optional.of(RETRY_AFTER_MS));
+        .exceptionally(e -> Optional.of(NO_ANSWER));
   }
 
-  private Optional<Long> credit(TokenAccount account, TokenGrant grant, long asked, long until) {
+  private Optional<Shortage> credit(
+      TokenAccount account, TokenGrant grant, long asked, long until) {
     account.give(grant.tokens(), until, clock.nowMs());
     boolean full = grant.tokens() >= asked;
-    return full ? Optional.empty() : Optional.of(Math.max(1, grant.retryAfterMs()));
+    return full
+        ? Optional.empty()
+        : Optional.of(new Shortage(Math.max(1, grant.retryAfterMs()), false));
   }
 
   private TokenAccount account(CustomerName customer) {
     return accounts.computeIfAbsent(customer, c -> new TokenAccount());
   }
+
+  private static Executor delayed(long ms) {
+    return CompletableFuture.delayedExecutor(ms, TimeUnit.MILLISECONDS);
+  }
+
+  private record Wait(
+      CustomerName customer, long tokens, long limitMs, CompletableFuture<Optional<Long>> result) {}
 }
