Count traffic, processor time and memory of both programs

Cause: the limits of 3.9% of a core, 64 MB and 6 KB/s for control could not be checked, since the metrics pages had neither bytes nor processor time.

OkHttp's event listener counts the HTTP bytes to the log, the VM list, the store and endpoints. Log appends, reads and records are counted by stream, events and backlog by duty, and the process page has processor time (also by thread), resident memory, live heap after a collection, non-heap and direct memory.

Ruled out: a counting socket factory, which is exact for HTTP but wraps each read and write; the listener leaves out only chunk sizes. The entry program's HTTP to endpoints and callers is not counted.

--- /dev/null
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/metrics/ProcessMetrics.java
@@ -0,0 +1,108 @@
+package io.kumquatspindle.api.metrics;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.sun.management.OperatingSystemMXBean;
+import java.io.IOException;
+import java.lang.management.BufferPoolMXBean;
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryPoolMXBean;
+import java.lang.management.MemoryType;
+import java.lang.management.MemoryUsage;
+import java.lang.management.ThreadInfo;
+import java.lang.management.ThreadMXBean;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Registers the processor time and the memory of this process. */
+public final class ProcessMetrics {
+  private static final double NANOS_PER_SECOND = 1e9;
+  private static final long BYTES_PER_KB = 1024;
+  private static final Path STATUS = Path.of("/proc/self/status");
+
+  private ProcessMetrics() {}
+
+  /**
+   * Registers the gauges of the process; memory is in bytes.
+   *
+   * @param registry where the gauges are registered
+   */
+  public static void register(MetricRegistry registry) {
+    OperatingSystemMXBean os = ManagementFactory.getPlatformMXBean(OperatingSystemMXBean.class);
+    gauge(registry, "process_cpu_seconds", () -> os.getProcessCpuTime() / NANOS_PER_SECOND);
+    gauge(registry, "process_resident_bytes", ProcessMetrics::residentBytes);
+    gauge(registry, "jvm_heap_after_collection_bytes", ProcessMetrics::heapAfterCollection);
+    gauge(
+        registry,
+        "jvm_non_heap_used_bytes",
+        () -> ManagementFactory.getMemoryMXBean().getNonHeapMemoryUsage().getUsed());
+    gauge(registry, "jvm_direct_bytes", ProcessMetrics::directBytes);
+    gauge(registry, "jvm_threads", () -> ManagementFactory.getThreadMXBean().getThreadCount());
+  }
+
+  /**
+   * Registers the processor time of the threads that run now, by name. Digits at the end of a name
+   * are dropped, so that the threads of a pool count together.
+   *
+   * @param registry where the gauges are registered
+   */
+  public static void registerThreads(MetricRegistry registry) {
+    for (String name : threadSeconds().keySet()) {
+      registry.gauge(
+          MetricsText.name("thread_cpu_seconds", "thread", name),
+          () -> (Gauge<Double>) () -> threadSeconds().getOrDefault(name, 0.0));
+    }
+  }
+
+  private static Map<String, Double> threadSeconds() {
+    ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    Map<String, Double> seconds = new TreeMap<>();
+    for (ThreadInfo info : threads.getThreadInfo(threads.getAllThreadIds())) {
+      long nanos = info == null ? -1 : threads.getThreadCpuTime(info.getThreadId());
+      if (nanos >= 0) {
+        String name = info.getThreadName().replaceAll("[-#0-9]+$", "");
+        seconds.merge(name, nanos / NANOS_PER_SECOND, Double::sum);
+      }
+    }
+    return seconds;
+  }
+
+  /** Live heap as of the last collection of each pool; pools not yet collected count as empty. */
+  private static long heapAfterCollection() {
+    long sum = 0;
+    for (MemoryPoolMXBean pool : ManagementFactory.getMemoryPoolMXBeans()) {
+      MemoryUsage usage = pool.getCollectionUsage();
+      if (pool.getType() == MemoryType.HEAP && usage != null) {
+        sum += usage.getUsed();
+      }
+    }
+    return sum;
+  }
+
+  private static long directBytes() {
+    return ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
+        .filter(p -> p.getName().toLowerCase(Locale.ROOT).equals("direct"))
+        .mapToLong(BufferPoolMXBean::getMemoryUsed)
+        .sum();
+  }
+
+  private static long residentBytes() {
+    try {
+      return Files.readAllLines(STATUS).stream()
+          .filter(l -> l.startsWith("VmRSS:"))
+          .mapToLong(l -> Long.parseLong(l.replaceAll("[^0-9]", "")) * BYTES_PER_KB)
+          .findFirst()
+          .orElse(0);
+    } catch (IOException e) {
+      return 0; // Not every system has this file.
+    }
+  }
+
+  private static <T extends Number> void gauge(
+      MetricRegistry registry, String name, Gauge<T> value) {
+    registry.gauge(name, () -> value);
+  }
+}
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlProgram.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlProgram.java
@@ -8,6 +8,7 @@
 import io.kumquatspindle.api.message.EntryMessage.EntryHello;
 import io.kumquatspindle.api.message.PeerMessage;
 import io.kumquatspindle.api.message.PeerMessage.Member;
+import io.kumquatspindle.api.metrics.ProcessMetrics;
 import io.kumquatspindle.api.model.VmId;
 import io.kumquatspindle.api.platform.EndpointReport;
 import io.kumquatspindle.api.platform.LogService;
@@ -22,6 +23,7 @@
 import io.kumquatspindle.control.config.ConfigurationState;
 import io.kumquatspindle.control.entry.EntrySessions;
 import io.kumquatspindle.control.intent.IntentController;
+import io.kumquatspindle.control.log.CountingLogService;
 import io.kumquatspindle.control.log.LogAppender;
 import io.kumquatspindle.control.log.OwnerFeed;
 import io.kumquatspindle.control.log.StreamFollower;
@@ -47,11 +49,14 @@
 import io.kumquatspindle.engine.membership.RendezvousHash;
 import io.kumquatspindle.engine.placement.LoadSettings;
 import io.kumquatspindle.engine.request.IntentFold;
+import io.kumquatspindle.transport.duty.DutyMetrics;
+import io.kumquatspindle.transport.link.LinkMetrics;
 import io.kumquatspindle.transport.link.LinkRuntime;
 import io.kumquatspindle.transport.link.LinkServer;
 import io.kumquatspindle.transport.platform.HttpEndpointOrders;
 import io.kumquatspindle.transport.platform.HttpEndpointReports;
 import io.kumquatspindle.transport.platform.HttpLogService;
+import io.kumquatspindle.transport.platform.HttpTraffic;
 import io.kumquatspindle.transport.platform.HttpVmList;
 import io.kumquatspindle.transport.platform.HttpWeightStore;
 import java.io.IOException;
@@ -83,7 +88,9 @@
   private final Random random = new Random();
   private final String incarnation = UUID.randomUUID().toString();
   private final List<AutoCloseable> closeables = new ArrayList<>();
-  private final LinkRuntime runtime = LinkRuntime.start(IO_THREADS, "link");
+  private final MetricRegistry registry = new MetricRegistry();
+  private final LinkRuntime runtime =
+      LinkRuntime.start(IO_THREADS, "link", new LinkMetrics(registry));
   private final DeferredListener listener = new DeferredListener();
   private final ReportBoard reports = new ReportBoard(clock);
   private final LogService log;
@@ -101,7 +108,9 @@
 
   private ControlProgram(ControlSettings s) {
     settings = s;
-    log = HttpLogService.builder(s.logUrl()).build();
+    log =
+        new CountingLogService(
+            HttpLogService.builder(s.logUrl()).traffic(traffic("log")).build(), registry);
     peers = new PeerNetwork(runtime, hello(), listener, clock, timers);
     configuration = new ConfigurationController(clock);
     placement = newPlacement();
@@ -124,7 +133,10 @@
             owners, appender(StreamName.SNAPSHOTS), schedule, InstantSource.system());
     poller =
         new EndpointPoller(
-            HttpEndpointReports.builder().timeout(Duration.ofSeconds(1)).build(),
+            HttpEndpointReports.builder()
+                .timeout(Duration.ofSeconds(1))
+                .traffic(traffic("endpoint_reports"))
+                .build(),
             this::polledHere,
             this::reported,
             clock);
@@ -168,13 +180,13 @@
             .start();
     startTimers();
     startPlatformReaders();
-    MetricRegistry metrics = metrics();
+    registerMetrics();
     AdminServer admin =
         new AdminServer(
             IpAddress.parse(settings.adminAddress()),
             new StatePages(configuration, placement, membership, clock),
             () -> configuration.state().everConfirmed(),
-            metrics);
+            registry);
     closeables.add(admin);
     logger.atInfo().log(
         "control of %s in %s started, peers at %s",
@@ -204,7 +216,10 @@
     PlatformActions actions =
         new PlatformActions(
             appender(StreamName.DECISIONS),
-            HttpEndpointOrders.builder().loadTimeout(settings.orderTimeout()).build(),
+            HttpEndpointOrders.builder()
+                .loadTimeout(settings.orderTimeout())
+                .traffic(traffic("endpoint_orders"))
+                .build(),
             orders,
             () -> configuration.state().configuration(),
             () -> timers.after(Duration.ZERO, this::sendPlacement));
@@ -265,8 +280,9 @@
   }
 
   private void startPlatformReaders() {
-    HttpVmList list = HttpVmList.builder(settings.vmListUrl()).build();
-    HttpWeightStore store = HttpWeightStore.builder(settings.storeUrl()).build();
+    HttpVmList list = HttpVmList.builder(settings.vmListUrl()).traffic(traffic("vm_list")).build();
+    HttpWeightStore store =
+        HttpWeightStore.builder(settings.storeUrl()).traffic(traffic("store")).build();
     PlatformReader reader =
         new PlatformReader(
             () -> list.read().ifPresent(membership::listed),
@@ -309,8 +325,15 @@
         .toList();
   }
 
-  private MetricRegistry metrics() {
-    MetricRegistry m = new MetricRegistry();
+  private HttpTraffic traffic(String service) {
+    return HttpTraffic.of(registry, service);
+  }
+
+  private void registerMetrics() {
+    MetricRegistry m = registry;
+    ProcessMetrics.register(m);
+    ProcessMetrics.registerThreads(m);
+    DutyMetrics.register(m);
     Runtime jvm = Runtime.getRuntime();
     m.register("jvm_heap_used_bytes", (Gauge<Long>) () -> jvm.totalMemory() - jvm.freeMemory());
     m.register("configuration_number", (Gauge<Long>) this::number);
@@ -320,7 +343,6 @@
     m.register("orders_in_progress", (Gauge<Integer>) orders::inProgress);
     m.register("decisions_offset", (Gauge<Long>) placement::nextOffset);
     m.register("members", (Gauge<Integer>) () -> membership.view().members().size());
-    return m;
   }
 
   private long number() {
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntryProgram.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/EntryProgram.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.kumquatspindle.api.message.EntryMessage.EntryHello;
+import io.kumquatspindle.api.metrics.ProcessMetrics;
 import io.kumquatspindle.api.time.MonotonicClock;
 import io.kumquatspindle.api.time.SystemTimerService;
 import io.kumquatspindle.api.time.TimerService;
@@ -22,6 +23,7 @@
 import io.kumquatspindle.entry.request.ModelWaitRoom;
 import io.kumquatspindle.entry.request.RequestEnvironment;
 import io.kumquatspindle.entry.request.RequestHandler;
+import io.kumquatspindle.transport.link.LinkMetrics;
 import io.kumquatspindle.transport.link.LinkRuntime;
 import java.time.Duration;
 import java.util.Optional;
@@ -55,7 +57,8 @@
   private final RequestHandler handler;
   private final CallerServer callerServer;
   private final AdminServer adminServer;
-  private final LinkRuntime links = LinkRuntime.start(LINK_THREADS, "entry-link");
+  private final LinkRuntime links =
+      LinkRuntime.start(LINK_THREADS, "entry-link", new LinkMetrics(metrics.registry()));
   private final Optional<ControlConnector> connector;
   private volatile boolean stopping;
 
@@ -78,6 +81,7 @@
         RequestHandler.create(settings.limits(), views, session, accounts, room, dispatch, env);
     metrics.gauge("requests_waiting", room::size);
     metrics.gauge("requests_in_flight", handler::inFlight);
+    ProcessMetrics.register(metrics.registry());
     subscribe(room);
     int bodyBytes = settings.limits().bodyBytes();
     callerServer = CallerServer.start(settings.callers(), bodyBytes, handler, clock);
--- a/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/duty/Duty.java
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/duty/Duty.java
@@ -7,7 +7,10 @@
 import com.lmax.disruptor.EventTranslatorOneArg;
 import com.lmax.disruptor.RingBuffer;
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
@@ -20,6 +23,7 @@
 public final class Duty<E> implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long CLOSE_POLL_MS = 1;
+  private static final Set<Duty<?>> RUNNING = ConcurrentHashMap.newKeySet();
 
   private final String name;
   private final Consumer<? super E> handler;
@@ -29,6 +33,7 @@
       (slot, sequence, event) -> slot.event = event;
   private final BatchEventProcessor<Slot<E>> processor;
   private final Thread thread;
+  private final LongAdder handled = new LongAdder();
   private final LongAdder rejected = new LongAdder();
   private final AtomicInteger offering = new AtomicInteger();
   private volatile boolean closed;
@@ -90,6 +95,33 @@
     return (int) (ring.getBufferSize() - ring.remainingCapacity());
   }
 
+  /**
+   * Returns the duties of this process that have started and have not been closed.
+   *
+   * @return the duties, in no particular order
+   */
+  public static List<Duty<?>> running() {
+    return List.copyOf(RUNNING);
+  }
+
+  /**
+   * Returns the name of the thread.
+   *
+   * @return the name
+   */
+  public String name() {
+    return name;
+  }
+
+  /**
+   * Returns the number of events that were handled.
+   *
+   * @return the number since the start
+   */
+  public long handled() {
+    return handled.sum();
+  }
+
   /**
    * Returns the number of events that were not accepted.
    *
@@ -111,6 +143,7 @@
       throw new IllegalStateException("a duty cannot wait for itself: " + name);
     }
     closed = true;
+    RUNNING.remove(this);
     long deadline = System.nanoTime() + closeLimitNanos;
     boolean interrupted = false;
     // An offer that saw the duty open may still be about to publish its event.
@@ -148,6 +181,7 @@
       logger.atSevere().withCause(t).log(
           "duty %s failed to handle an event of kind %s", name, kind);
     } finally {
+      handled.increment();
       // The wait for the next event would throw for a handler that left its thread interrupted, and
       // that would end the thread.
       boolean unused = Thread.interrupted();
@@ -209,6 +243,7 @@
      */
     public Duty<E> start() {
       Duty<E> duty = new Duty<>(this);
+      RUNNING.add(duty);
       duty.thread.start();
       return duty;
     }
--- a/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/link/ChannelLink.java
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/link/ChannelLink.java
@@ -1,6 +1,7 @@
 package io.kumquatspindle.transport.link;
 
 import com.google.common.flogger.FluentLogger;
+import io.kumquatspindle.api.message.EntryMessage;
 import io.kumquatspindle.api.message.Envelope;
 import io.kumquatspindle.api.message.Message;
 import io.kumquatspindle.transport.codec.MessageCodec;
@@ -25,12 +26,16 @@
   private static final int LOG_PERIOD_SECONDS = 10;
 
   private final Channel channel;
+  private final LinkMetrics metrics;
+  private final TrafficHandler traffic;
   private final AtomicLong lastId = new AtomicLong();
   private final AtomicReference<String> closeReason = new AtomicReference<>();
   private final PendingAsks asks = new PendingAsks();
 
-  ChannelLink(Channel channel) {
+  ChannelLink(Channel channel, LinkMetrics metrics, TrafficHandler traffic) {
     this.channel = channel;
+    this.metrics = metrics;
+    this.traffic = traffic;
   }
 
   @Override
@@ -94,6 +99,10 @@
           envelope.body().getClass().getSimpleName(), bytes.length);
       return false;
     }
+    metrics.sent(envelope.body(), LENGTH_BYTES + bytes.length);
+    if (envelope.body() instanceof EntryMessage.EntryHello) {
+      channel.eventLoop().execute(traffic::entry);
+    }
     ByteBuf frame = channel.alloc().buffer(LENGTH_BYTES + bytes.length);
     frame.writeInt(bytes.length).writeBytes(bytes);
     ChannelFuture unused = channel.writeAndFlush(frame, channel.voidPromise());
--- a/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/link/LinkHandler.java
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/link/LinkHandler.java
@@ -1,6 +1,7 @@
 package io.kumquatspindle.transport.link;
 
 import com.google.common.flogger.FluentLogger;
+import io.kumquatspindle.api.message.EntryMessage;
 import io.kumquatspindle.api.message.Envelope;
 import io.kumquatspindle.api.message.LinkMessage;
 import io.kumquatspindle.transport.codec.MessageCodec;
@@ -21,26 +22,31 @@
 
   private final ChannelLink link;
   private final LinkOptions options;
+  private final TrafficHandler traffic;
   private boolean opened;
 
-  private LinkHandler(ChannelLink link, LinkOptions options) {
+  private LinkHandler(ChannelLink link, LinkOptions options, TrafficHandler traffic) {
     this.link = link;
     this.options = options;
+    this.traffic = traffic;
   }
 
   /** Adds the handlers of a link to a new channel. */
   static ChannelLink install(Channel channel, LinkOptions options) {
-    ChannelLink link = new ChannelLink(channel);
+    LinkMetrics metrics = options.runtime.metrics();
+    TrafficHandler traffic = new TrafficHandler(metrics);
+    ChannelLink link = new ChannelLink(channel, metrics, traffic);
     int maxFrame = ChannelLink.LENGTH_BYTES + ChannelLink.MAX_ENVELOPE_BYTES;
     int length = ChannelLink.LENGTH_BYTES;
     channel
         .pipeline()
+        .addLast(traffic)
         .addLast(new LengthFieldBasedFrameDecoder(maxFrame, 0, length, 0, length))
         // After the decoder, so that only whole frames count as a sign of life.
         .addLast(
             new IdleStateHandler(
                 options.silenceLimitMs(), options.heartbeatMs(), 0, TimeUnit.MILLISECONDS))
-        .addLast(new LinkHandler(link, options));
+        .addLast(new LinkHandler(link, options, traffic));
     return link;
   }
 
@@ -56,10 +62,14 @@
       // Closing a channel delivers the frames that were already read.
       return;
     }
+    traffic.frameRead();
     Envelope envelope = MessageCodec.decode(ByteBufUtil.getBytes(frame));
     if (envelope.body() instanceof LinkMessage.Heartbeat) {
       return;
     }
+    if (envelope.body() instanceof EntryMessage.EntryHello) {
+      traffic.entry();
+    }
     if (envelope.replyTo() != 0) {
       link.received(envelope);
     } else {
--- a/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/link/LinkRuntime.java
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/link/LinkRuntime.java
@@ -1,5 +1,6 @@
 package io.kumquatspindle.transport.link;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.EventLoopGroup;
@@ -23,8 +24,10 @@
 
   private final EventLoopGroup group;
   private final ByteBufAllocator allocator;
+  private final LinkMetrics metrics;
 
-  private LinkRuntime(int threads, String threadName) {
+  private LinkRuntime(int threads, String threadName, LinkMetrics metrics) {
+    this.metrics = metrics;
     group = new NioEventLoopGroup(threads, new DefaultThreadFactory(threadName, true));
     allocator =
         new PooledByteBufAllocator(
@@ -39,16 +42,32 @@
    * @return the runtime
    */
   public static LinkRuntime start(int threads, String threadName) {
+    return start(threads, threadName, new LinkMetrics(new MetricRegistry()));
+  }
+
+  /**
+   * Starts a runtime whose traffic is counted.
+   *
+   * @param threads number of I/O threads, 1 or 2
+   * @param threadName prefix of the threads' names
+   * @param metrics counts the traffic of all links of the runtime
+   * @return the runtime
+   */
+  public static LinkRuntime start(int threads, String threadName, LinkMetrics metrics) {
     if (threads < 1 || threads > MAX_THREADS) {
       throw new IllegalArgumentException("threads must be 1 or 2 but was " + threads);
     }
-    return new LinkRuntime(threads, threadName);
+    return new LinkRuntime(threads, threadName, metrics);
   }
 
   EventLoopGroup group() {
     return group;
   }
 
+  LinkMetrics metrics() {
+    return metrics;
+  }
+
   ByteBufAllocator allocator() {
     return allocator;
   }
--- a/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/platform/HttpCaller.java
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/platform/HttpCaller.java
@@ -2,6 +2,8 @@
 
 import io.kumquatspindle.api.json.Json;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Proxy;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -38,16 +40,16 @@
   private final OkHttpClient client;
 
   /** Returns a caller that keeps connections for further calls. */
-  static HttpCaller withKeptConnections() {
-    return new HttpCaller(MAX_IDLE_CONNECTIONS);
+  static HttpCaller withKeptConnections(HttpTraffic traffic) {
+    return new HttpCaller(MAX_IDLE_CONNECTIONS, traffic);
   }
 
   /** Returns a caller that makes a new connection for each call. */
-  static HttpCaller withNewConnections() {
-    return new HttpCaller(0);
+  static HttpCaller withNewConnections(HttpTraffic traffic) {
+    return new HttpCaller(0, traffic);
   }
 
-  private HttpCaller(int maxIdleConnections) {
+  private HttpCaller(int maxIdleConnections, HttpTraffic traffic) {
     client =
         new OkHttpClient.Builder()
             .connectionPool(new ConnectionPool(maxIdleConnections, IDLE_SECONDS, TimeUnit.SECONDS))
@@ -59,7 +61,7 @@
             // A repeated request could append a record or carry out an order twice.
             .retryOnConnectionFailure(false)
             .followRedirects(false)
-            .eventListenerFactory(SentListener::of)
+            .eventListenerFactory(call -> SentListener.of(call, traffic))
             .addNetworkInterceptor(
                 // OkHttp repeats a request that is answered with 503 and "Retry-After: 0".
                 chain -> {
@@ -107,21 +109,51 @@
     }
   }
 
-  /** Sets the flag that a request carries as its tag when its first byte is about to be sent. */
+  /**
+   * Sets the flag that a request carries as its tag when its first byte is about to be sent, and
+   * counts the call's traffic.
+   */
   private static final class SentListener extends EventListener {
     private final AtomicBoolean sent;
+    private final HttpTraffic traffic;
 
-    private SentListener(AtomicBoolean sent) {
+    private SentListener(AtomicBoolean sent, HttpTraffic traffic) {
       this.sent = sent;
+      this.traffic = traffic;
     }
 
-    static EventListener of(Call call) {
-      return new SentListener(call.request().tag(AtomicBoolean.class));
+    static EventListener of(Call call, HttpTraffic traffic) {
+      return new SentListener(call.request().tag(AtomicBoolean.class), traffic);
     }
 
     @Override
     public void requestHeadersStart(Call call) {
       sent.set(true);
     }
+
+    @Override
+    public void connectEnd(Call call, InetSocketAddress address, Proxy proxy, Protocol protocol) {
+      traffic.opened();
+    }
+
+    @Override
+    public void requestHeadersEnd(Call call, Request request) {
+      traffic.requestHeaders(request);
+    }
+
+    @Override
+    public void requestBodyEnd(Call call, long byteCount) {
+      traffic.requestBody(byteCount);
+    }
+
+    @Override
+    public void responseHeadersEnd(Call call, Response response) {
+      traffic.responseHeaders(response.headers());
+    }
+
+    @Override
+    public void responseBodyEnd(Call call, long byteCount) {
+      traffic.responseBody(byteCount);
+    }
   }
 }
--- a/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/platform/HttpEndpointOrders.java
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/platform/HttpEndpointOrders.java
@@ -19,11 +19,12 @@
 
   // An order on a kept connection that no longer carries data would have an unknown outcome after
   // minutes, and its memory would stay reserved.
-  private final HttpCaller caller = HttpCaller.withNewConnections();
+  private final HttpCaller caller;
   private final Duration loadTimeout;
   private final Duration unloadTimeout;
 
   private HttpEndpointOrders(Builder builder) {
+    caller = HttpCaller.withNewConnections(builder.traffic);
     loadTimeout = builder.loadTimeout;
     unloadTimeout = builder.unloadTimeout;
   }
@@ -87,6 +88,7 @@
 
   /** Builds a client with timeouts of 5 minutes for loads and 30 s for unloads by default. */
   public static final class Builder {
+    private HttpTraffic traffic = HttpTraffic.unregistered();
     private Duration loadTimeout = Duration.ofMinutes(5);
     private Duration unloadTimeout = Duration.ofSeconds(30);
 
@@ -114,6 +116,17 @@
       return this;
     }
 
+    /**
+     * Sets where the traffic is counted.
+     *
+     * @param counters the counters
+     * @return this builder
+     */
+    public Builder traffic(HttpTraffic counters) {
+      traffic = Objects.requireNonNull(counters, "counters");
+      return this;
+    }
+
     /**
      * Returns the client.
      *
--- a/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/platform/HttpEndpointReports.java
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/platform/HttpEndpointReports.java
@@ -10,10 +10,11 @@
 
 /** Reports of endpoints over HTTP. */
 public final class HttpEndpointReports implements EndpointReports {
-  private final HttpCaller caller = HttpCaller.withKeptConnections();
+  private final HttpCaller caller;
   private final Duration timeout;
 
   private HttpEndpointReports(Builder builder) {
+    caller = HttpCaller.withKeptConnections(builder.traffic);
     timeout = builder.timeout;
   }
 
@@ -37,6 +38,7 @@
 
   /** Builds a client with a timeout of 1 s by default. */
   public static final class Builder {
+    private HttpTraffic traffic = HttpTraffic.unregistered();
     private Duration timeout = Duration.ofSeconds(1);
 
     private Builder() {}
@@ -52,6 +54,17 @@
       return this;
     }
 
+    /**
+     * Sets where the traffic is counted.
+     *
+     * @param counters the counters
+     * @return this builder
+     */
+    public Builder traffic(HttpTraffic counters) {
+      traffic = Objects.requireNonNull(counters, "counters");
+      return this;
+    }
+
     /**
      * Returns the client.
      *
--- a/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/platform/HttpLogService.java
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/platform/HttpLogService.java
@@ -20,12 +20,13 @@
 public final class HttpLogService implements LogService {
   private static final MediaType JSON = MediaType.get("application/json");
 
-  private final HttpCaller caller = HttpCaller.withKeptConnections();
+  private final HttpCaller caller;
   private final HttpUrl base;
   private final Duration appendTimeout;
   private final Duration readSlack;
 
   private HttpLogService(Builder builder) {
+    caller = HttpCaller.withKeptConnections(builder.traffic);
     base = builder.base;
     appendTimeout = builder.appendTimeout;
     readSlack = builder.readSlack;
@@ -126,6 +127,7 @@
    */
   public static final class Builder {
     private final HttpUrl base;
+    private HttpTraffic traffic = HttpTraffic.unregistered();
     private Duration appendTimeout = Duration.ofSeconds(2);
     private Duration readSlack = Duration.ofSeconds(1);
 
@@ -155,6 +157,17 @@
       return this;
     }
 
+    /**
+     * Sets where the traffic is counted.
+     *
+     * @param counters the counters
+     * @return this builder
+     */
+    public Builder traffic(HttpTraffic counters) {
+      traffic = Objects.requireNonNull(counters, "counters");
+      return this;
+    }
+
     /**
      * Returns the client.
      *
--- a/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/platform/HttpVmList.java
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/platform/HttpVmList.java
@@ -11,11 +11,12 @@
 
 /** The platform's list of VMs over HTTP. */
 public final class HttpVmList implements VmList {
-  private final HttpCaller caller = HttpCaller.withKeptConnections();
+  private final HttpCaller caller;
   private final HttpUrl url;
   private final Duration timeout;
 
   private HttpVmList(Builder builder) {
+    caller = HttpCaller.withKeptConnections(builder.traffic);
     url = builder.base.newBuilder().addPathSegment("vms").build();
     timeout = builder.timeout;
   }
@@ -53,6 +54,7 @@
   /** Builds a client with a timeout of 1 s by default. */
   public static final class Builder {
     private final HttpUrl base;
+    private HttpTraffic traffic = HttpTraffic.unregistered();
     private Duration timeout = Duration.ofSeconds(1);
 
     private Builder(HttpUrl base) {
@@ -70,6 +72,17 @@
       return this;
     }
 
+    /**
+     * Sets where the traffic is counted.
+     *
+     * @param counters the counters
+     * @return this builder
+     */
+    public Builder traffic(HttpTraffic counters) {
+      traffic = Objects.requireNonNull(counters, "counters");
+      return this;
+    }
+
     /**
      * Returns the client.
      *
--- a/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/platform/HttpWeightStore.java
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/platform/HttpWeightStore.java
@@ -9,11 +9,12 @@
 
 /** The platform's weight store over HTTP. */
 public final class HttpWeightStore implements WeightStore {
-  private final HttpCaller caller = HttpCaller.withKeptConnections();
+  private final HttpCaller caller;
   private final HttpUrl url;
   private final Duration timeout;
 
   private HttpWeightStore(Builder builder) {
+    caller = HttpCaller.withKeptConnections(builder.traffic);
     url = builder.base.newBuilder().addPathSegment("store").build();
     timeout = builder.timeout;
   }
@@ -37,6 +38,7 @@
   /** Builds a client with a timeout of 1 s by default. */
   public static final class Builder {
     private final HttpUrl base;
+    private HttpTraffic traffic = HttpTraffic.unregistered();
     private Duration timeout = Duration.ofSeconds(1);
 
     private Builder(HttpUrl base) {
@@ -54,6 +56,17 @@
       return this;
     }
 
+    /**
+     * Sets where the traffic is counted.
+     *
+     * @param counters the counters
+     * @return this builder
+     */
+    public Builder traffic(HttpTraffic counters) {
+      traffic = Objects.requireNonNull(counters, "counters");
+      return this;
+    }
+
     /**
      * Returns the client.
      *
--- a/kumquatspindle-transport/src/test/java/io/kumquatspindle/transport/platform/HttpLogServiceTests.java
+++ b/kumquatspindle-transport/src/test/java/io/kumquatspindle/transport/platform/HttpLogServiceTests.java
@@ -3,7 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.codahale.metrics.MetricRegistry;
 import io.kumquatspindle.api.platform.AppendResult;
 import io.kumquatspindle.api.platform.ReadResult;
 import io.kumquatspindle.api.platform.StreamName;
@@ -47,6 +49,22 @@
   @DisplayName("when it appends")
   class Append {
 
+    @Test
+    @DisplayName("counts the call and at least the bytes of both bodies")
+    void countsTraffic() {
+      MetricRegistry registry = new MetricRegistry();
+      HttpTraffic traffic = HttpTraffic.of(registry, "log");
+      String answer = "{\"offset\":17}";
+      server.answer(200, answer);
+      HttpLogService counted = HttpLogService.builder(server.url()).traffic(traffic).build();
+      counted.append(StreamName.TICKETS, RECORD);
+      assertEquals(1, registry.counter("http_calls{service=\"log\"}").getCount());
+      long in = registry.counter("http_bytes_in{service=\"log\"}").getCount();
+      long out = registry.counter("http_bytes_out{service=\"log\"}").getCount();
+      assertTrue(in > answer.length() && in < 500, "bytes in: " + in);
+      assertTrue(out > RECORD.length && out < 500, "bytes out: " + out);
+    }
+
     @Test
     @DisplayName("posts the record's bytes and gives the offset")
     void appends() throws Exception {
