Measure what control costs by size of fleet, configuration and load

Cause: docs/CAPACITY.md needs each figure from a slope measured here.

Change: the command `slopes` runs fleets of control processes against the stand-ins, varies one factor at a time, samples the metrics pages, fits lines and works out the value at the expected size. It measures decision code alone in its own process, the time until a restarted VM serves (state from the log, and from peers with the log out), and what is left of a fleet does when a VM or a failure domain is lost. TestSite can start controls without entries.

No figures yet. A part that fails is tried once more and listed in the result.

--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/BenchMain.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/BenchMain.java
@@ -4,6 +4,7 @@
 import com.github.rvesse.airline.builder.CliBuilder;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import io.kumquatspindle.bench.demo.DemoCommand;
+import io.kumquatspindle.bench.slopes.SlopesCommand;
 import io.kumquatspindle.bench.speed.SpeedCommand;
 import java.util.concurrent.Callable;
 
@@ -40,6 +41,7 @@
     b.withDescription("Demo and measurements");
     b.withDefaultCommand(HelpCommand.class).withCommand(HelpCommand.class);
     b.withCommand(DemoCommand.class).withCommand(SpeedCommand.class);
+    b.withCommand(SlopesCommand.class);
     return b.build();
   }
 }
--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/processes/SiteVm.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/processes/SiteVm.java
@@ -3,6 +3,8 @@
 import io.kumquatspindle.api.model.FailureDomain;
 import io.kumquatspindle.api.model.VmId;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -74,6 +76,15 @@
     return url(ports.controlAdmin());
   }
 
+  /**
+   * Returns the address at which the control listens for entry programs and peers.
+   *
+   * @return IP address and port, without a relay
+   */
+  public InetSocketAddress controlLinks() {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.peers());
+  }
+
   /**
    * Returns the control process.
    *
@@ -127,13 +138,17 @@
    */
   public void awaitReady() throws IOException {
     control.awaitReady(START_TIMEOUT);
-    entry.awaitReady(START_TIMEOUT);
+    if (entry != null) {
+      entry.awaitReady(START_TIMEOUT);
+    }
   }
 
   /** Kills both processes at once, as if the VM were taken away. */
   public void kill() {
     control.kill();
-    entry.kill();
+    if (entry != null) {
+      entry.kill();
+    }
   }
 
   SitePorts.VmPorts ports() {
--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/processes/TestSite.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/processes/TestSite.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.OptionalInt;
 
 /** A small site on the loopback address: stand-ins and VMs, each in processes of their own. */
@@ -20,13 +21,15 @@
   private static final int STAND_INS_HEAP_MB = 512;
 
   private final SiteOptions options;
+  private final boolean entries;
   private final List<SiteVm> vms = new ArrayList<>();
   private final SiteLinks links;
   private ManagedProcess standIns;
   private Map<String, Integer> standInPorts = Map.of();
 
-  private TestSite(SiteOptions options) throws IOException {
+  private TestSite(SiteOptions options, boolean entries) throws IOException {
     this.options = options;
+    this.entries = entries;
     int count = options.domains().size() * options.vmsPerDomain();
     List<SitePorts.VmPorts> ports = SitePorts.choose(count);
     for (int i = 0; i < count; i++) {
@@ -140,7 +143,7 @@
    */
   public Map<String, OptionalInt> stop() {
     List<List<ManagedProcess>> groups = new ArrayList<>();
-    groups.add(vms.stream().map(SiteVm::entry).toList());
+    groups.add(vms.stream().map(SiteVm::entry).filter(Objects::nonNull).toList());
     groups.add(vms.stream().map(SiteVm::control).toList());
     groups.add(List.of(standIns));
     Map<String, OptionalInt> result = new LinkedHashMap<>();
@@ -179,7 +182,9 @@
       vm.startControl();
     }
     for (SiteVm vm : vms) {
-      vm.startEntry();
+      if (entries) {
+        vm.startEntry();
+      }
     }
     for (SiteVm vm : vms) {
       vm.awaitReady();
@@ -209,6 +214,7 @@
     private int services;
     private boolean platformRelays;
     private boolean peerRelays;
+    private boolean entries = true;
     private final Map<String, String> standIns = new LinkedHashMap<>();
     private final Map<String, String> entry = new LinkedHashMap<>();
     private final Map<String, String> control = new LinkedHashMap<>();
@@ -274,6 +280,16 @@
       return this;
     }
 
+    /**
+     * Starts no entry programs.
+     *
+     * @return this builder
+     */
+    public Builder controlsOnly() {
+      entries = false;
+      return this;
+    }
+
     /**
      * Sets a value of the stand-ins' settings.
      *
@@ -330,7 +346,8 @@
                   peerRelays,
                   standIns,
                   entry,
-                  control));
+                  control),
+              entries);
       try {
         site.start();
         return site;
--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/tickets/SiteTickets.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/tickets/SiteTickets.java
@@ -92,7 +92,7 @@
         null);
   }
 
-  private static List<EndpointSpec> endpoints(TestSite site) {
+  static List<EndpointSpec> endpoints(TestSite site) {
     List<EndpointSpec> result = new ArrayList<>();
     for (String name : site.engines()) {
       result.add(endpoint(site, name, EndpointSpec.Kind.ENGINE, ENGINE_MEMORY_MB));
@@ -116,7 +116,7 @@
         false);
   }
 
-  private static List<ServiceSpec> services(TestSite site) {
+  static List<ServiceSpec> services(TestSite site) {
     List<EndpointName> names = site.services().stream().map(EndpointName::of).toList();
     return names.isEmpty()
         ? List.of()
