Save partial results of slopes and kill fleets between rows

Cause: on the shared machine a row took over a minute, of which the graceful stop of its controls was the part that measures nothing, and a run that was cut short left no result.

Change: the fleet of a row is killed, and the result file is written after each part.

--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/slopes/Fleet.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/slopes/Fleet.java
@@ -18,7 +18,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.stream.IntStream;
 
 /** A running fleet of control processes with a configuration in force. */
@@ -144,11 +143,10 @@
     }
   }
 
-  /** Stops everything; what does not end in time is killed. */
+  /** Kills everything: a graceful stop of each row would take longer than its sample. */
   @Override
   public void close() throws IOException {
     caller.close();
-    Map<String, OptionalInt> unused = site.stop();
     site.close();
     directory.delete();
   }
--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/slopes/SlopesCommand.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/slopes/SlopesCommand.java
@@ -59,45 +59,32 @@
   @Option(name = "--result", title = "FILE", description = "Result file (JSON)")
   private String result = "slopes.json";
 
+  private final List<RowResult> rows = new ArrayList<>();
+  private final List<CodeCost> code = new ArrayList<>();
+  private final List<ServeTimes.Result> serving = new ArrayList<>();
+  private final List<LossRun.Result> losses = new ArrayList<>();
   private final List<String> failures = new ArrayList<>();
+  private double loadBefore;
 
   /** Creates the command; called by Airline. */
   public SlopesCommand() {}
 
   @Override
   public Integer call() throws IOException {
-    double load = ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage();
-    List<CodeCost> code = DecisionCode.measure();
-    Row start = baseRow();
-    List<RowResult> rows = new ArrayList<>();
+    loadBefore = ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage();
+    code.addAll(DecisionCode.measure());
     RowRun run = new RowRun(settleSeconds, seconds);
-    for (Row row : rows(start)) {
+    for (Row row : rows(baseRow())) {
       attempt(row.toString(), () -> rows.add(run.run(row)));
     }
-    List<ServeTimes.Result> serving = new ArrayList<>();
     for (double n : list(artifacts)) {
       String name = "time to serve with " + (int) n + " artifacts";
       attempt(name, () -> serving.addAll(ServeTimes.measure((int) n)));
     }
-    List<LossRun.Result> losses = new ArrayList<>();
     if (!skipLosses) {
-      attempt("losses", () -> losses.addAll(new LossRun(seconds).measure(start)));
+      attempt("losses", () -> losses.addAll(new LossRun(seconds).measure(baseRow())));
     }
-    SlopesReport report =
-        new SlopesReport(
-            Runtime.getRuntime().availableProcessors(),
-            load,
-            seconds,
-            start,
-            rows,
-            Slopes.of(start, rows),
-            code,
-            serving,
-            losses,
-            failures);
-    report.print(System.out);
-    byte[] json = Json.mapper().writerWithDefaultPrettyPrinter().writeValueAsBytes(report);
-    Files.write(Path.of(result), json);
+    save().print(System.out);
     return failures.isEmpty() ? 0 : 1;
   }
 
@@ -107,6 +94,7 @@
       System.err.println("running " + name);
       try {
         part.run();
+        save();
         return;
       } catch (IOException e) {
         String text = name + ": " + String.valueOf(e.getMessage()).lines().findFirst().orElse("");
@@ -116,21 +104,41 @@
     }
   }
 
+  /** Writes what is measured so far, so that a run that is cut short is not lost. */
+  private SlopesReport save() throws IOException {
+    Row start = baseRow();
+    SlopesReport report =
+        new SlopesReport(
+            Runtime.getRuntime().availableProcessors(),
+            loadBefore,
+            seconds,
+            start,
+            rows,
+            Slopes.of(start, rows),
+            code,
+            serving,
+            losses,
+            failures);
+    byte[] json = Json.mapper().writerWithDefaultPrettyPrinter().writeValueAsBytes(report);
+    Files.write(Path.of(result), json);
+    return report;
+  }
+
   private Row baseRow() {
     double[] b = list(base);
     return new Row((int) b[0], (int) b[1], (int) b[2], (int) b[3], b[4], b[5]);
   }
 
   private Set<Row> rows(Row start) {
-    Set<Row> rows = new LinkedHashSet<>();
-    rows.add(start);
-    add(rows, vms, n -> start.withVms((int) n));
-    add(rows, domains, n -> start.withDomains((int) n));
-    add(rows, artifacts, n -> start.withArtifacts((int) n));
-    add(rows, endpoints, n -> start.withEndpoints((int) n));
-    add(rows, loads, start::withLoads);
-    add(rows, changes, start::withChanges);
-    return rows;
+    Set<Row> planned = new LinkedHashSet<>();
+    planned.add(start);
+    add(planned, vms, n -> start.withVms((int) n));
+    add(planned, endpoints, n -> start.withEndpoints((int) n));
+    add(planned, artifacts, n -> start.withArtifacts((int) n));
+    add(planned, loads, start::withLoads);
+    add(planned, changes, start::withChanges);
+    add(planned, domains, n -> start.withDomains((int) n));
+    return planned;
   }
 
   private static void add(Set<Row> rows, String values, DoubleFunction<Row> row) {
--- /dev/null
+++ b/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/tickets/LargeTicketsTests.java
@@ -0,0 +1,47 @@
+package io.kumquatspindle.bench.tickets;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import io.kumquatspindle.api.config.EndpointSpec;
+import io.kumquatspindle.api.config.Ticket;
+import io.kumquatspindle.api.json.Json;
+import io.kumquatspindle.api.model.EndpointName;
+import io.kumquatspindle.api.model.FailureDomain;
+import io.kumquatspindle.api.platform.LogRecord;
+import io.kumquatspindle.engine.config.ConfigurationFold;
+import java.util.List;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("LargeTickets")
+class LargeTicketsTests {
+  private static final FailureDomain DOMAIN = FailureDomain.of("domain-1");
+
+  private static ConfigurationFold apply(ConfigurationFold fold, Ticket ticket) {
+    LogRecord record = new LogRecord(fold.nextOffset(), 1, Json.encode(ticket));
+    ConfigurationFold.Step step = fold.apply(record);
+    return assertInstanceOf(ConfigurationFold.Step.Accepted.class, step, step::toString).fold();
+  }
+
+  @Test
+  @DisplayName("are accepted at the expected size, and so are the changes that follow")
+  void accepted() {
+    EndpointSpec endpoint =
+        new EndpointSpec(
+            EndpointName.of("engine-1"),
+            DOMAIN,
+            "http://127.0.0.1:9000",
+            EndpointSpec.Kind.ENGINE,
+            80_000,
+            true,
+            false);
+    Ticket first = LargeTickets.first(List.of(DOMAIN), List.of(endpoint), 4_520);
+    ConfigurationFold fold = apply(ConfigurationFold.initial(), first);
+    assertEquals(904, fold.configuration().models().size());
+    assertEquals(3_616, fold.configuration().adapters().size());
+    fold = apply(fold, LargeTickets.change(2, 4_520));
+    fold = apply(fold, LargeTickets.change(3, 4_520));
+    assertEquals(3, fold.configuration().number());
+  }
+}
