--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/BenchMain.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/BenchMain.java
@@ -5,6 +5,7 @@
 import com.github.rvesse.airline.parser.errors.ParseException;
 import io.kumquatspindle.bench.demo.DemoCommand;
 import io.kumquatspindle.bench.measure.MeasureCommand;
+import io.kumquatspindle.bench.slopes.SlopesCommand;
 import io.kumquatspindle.bench.speed.SpeedCommand;
 import java.util.concurrent.Callable;
 
@@ -42,6 +43,7 @@
     b.withDefaultCommand(HelpCommand.class).withCommand(HelpCommand.class);
     b.withCommand(DemoCommand.class).withCommand(SpeedCommand.class);
     b.withCommand(MeasureCommand.class);
+    b.withCommand(SlopesCommand.class);
     return b.build();
   }
 }
