--- a/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/system/QuotaTests.java
+++ b/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/system/QuotaTests.java
@@ -178,7 +178,7 @@
     return caller
         .sendAsync(vm.callers(), Optional.of(keyOf(name)), request)
         .exceptionally(
-            e -> new ChatReply(0, 0, 0, "", false, Optional.of(String.valueOf(e.getMessage()))));
+            e -> new ChatReply(0, 0, 0, 0, "", false, Optional.of(String.valueOf(e.getMessage()))));
   }
 
   private static void awaitServed(SiteVm vm, String name) {
