--- a/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/system/KeyTests.java
+++ b/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/system/KeyTests.java
@@ -143,7 +143,8 @@
     try (Caller caller = new Caller(Duration.ofSeconds(30));
         FleetObserver observer = new FleetObserver(history, site.vms())) {
       ChatRequest warm = new ChatRequest(MODEL, "warm", 1);
-      assertTrue(caller.send(site.vms().get(0).callers(), Optional.of(KEY), warm).answers(warm));
+      ChatReply first = caller.send(site.vms().get(0).callers(), Optional.of(KEY), warm);
+      assertTrue(first.answers(warm), first::toString);
       for (SiteVm vm : site.vms()) {
         OpenConnection c = new OpenConnection(vm.callers(), KEY);
         assertEquals(200, c.ask().status());
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlProgram.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlProgram.java
@@ -4,14 +4,12 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import io.kumquatspindle.api.config.Configuration;
-import io.kumquatspindle.api.config.EndpointSpec;
 import io.kumquatspindle.api.message.EntryMessage.EntryHello;
 import io.kumquatspindle.api.message.PeerMessage;
 import io.kumquatspindle.api.message.PeerMessage.Member;
 import io.kumquatspindle.api.metrics.ProcessMetrics;
 import io.kumquatspindle.api.model.VmId;
 import io.kumquatspindle.api.platform.EndpointReport;
-import io.kumquatspindle.api.platform.LogService;
 import io.kumquatspindle.api.platform.StreamName;
 import io.kumquatspindle.api.settings.IpAddress;
 import io.kumquatspindle.api.time.MonotonicClock;
@@ -23,7 +21,6 @@
 import io.kumquatspindle.control.config.ConfigurationState;
 import io.kumquatspindle.control.entry.EntrySessions;
 import io.kumquatspindle.control.intent.IntentController;
-import io.kumquatspindle.control.log.CountingLogService;
 import io.kumquatspindle.control.log.LogAppender;
 import io.kumquatspindle.control.log.OwnerFeed;
 import io.kumquatspindle.control.log.StreamFollower;
@@ -36,6 +33,7 @@
 import io.kumquatspindle.control.placement.PlacementController;
 import io.kumquatspindle.control.placement.PlacementFoldAdapter;
 import io.kumquatspindle.control.placement.PlatformActions;
+import io.kumquatspindle.control.placement.PollAssignment;
 import io.kumquatspindle.control.placement.ReportBoard;
 import io.kumquatspindle.control.quota.QuotaDuty;
 import io.kumquatspindle.control.router.DeferredListener;
@@ -47,28 +45,19 @@
 import io.kumquatspindle.control.state.StreamOwner;
 import io.kumquatspindle.engine.config.SnapshotSchedule;
 import io.kumquatspindle.engine.membership.Membership;
-import io.kumquatspindle.engine.membership.RendezvousHash;
 import io.kumquatspindle.engine.placement.LoadSettings;
 import io.kumquatspindle.engine.request.IntentFold;
 import io.kumquatspindle.transport.duty.DutyMetrics;
 import io.kumquatspindle.transport.link.LinkMetrics;
 import io.kumquatspindle.transport.link.LinkRuntime;
 import io.kumquatspindle.transport.link.LinkServer;
-import io.kumquatspindle.transport.platform.HttpEndpointOrders;
-import io.kumquatspindle.transport.platform.HttpEndpointReports;
-import io.kumquatspindle.transport.platform.HttpLogService;
-import io.kumquatspindle.transport.platform.HttpTraffic;
-import io.kumquatspindle.transport.platform.HttpVmList;
-import io.kumquatspindle.transport.platform.HttpWeightStore;
 import java.io.IOException;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.UUID;
@@ -96,7 +85,7 @@
       LinkRuntime.start(IO_THREADS, "link", new LinkMetrics(registry));
   private final DeferredListener listener = new DeferredListener();
   private final ReportBoard reports = new ReportBoard(clock);
-  private final LogService log;
+  private final PlatformClients platform;
   private final PeerNetwork peers;
   private final ConfigurationController configuration;
   private final OrderExecutor orders = new OrderExecutor();
@@ -112,9 +101,7 @@
 
   private ControlProgram(ControlSettings s) {
     settings = s;
-    log =
-        new CountingLogService(
-            HttpLogService.builder(s.logUrl()).traffic(traffic("log")).build(), registry);
+    platform = PlatformClients.of(s, registry);
     peers = new PeerNetwork(runtime, hello(), listener, clock, timers);
     configuration = new ConfigurationController(clock);
     placement = newPlacement();
@@ -141,15 +128,9 @@
     snapshots =
         new SnapshotService(
             owners, appender(StreamName.SNAPSHOTS), schedule, InstantSource.system());
-    poller =
-        new EndpointPoller(
-            HttpEndpointReports.builder()
-                .timeout(Duration.ofSeconds(1))
-                .traffic(traffic("endpoint_reports"))
-                .build(),
-            this::polledHere,
-            this::reported,
-            clock);
+    PollAssignment assignment =
+        new PollAssignment(s.vm(), s.failureDomain(), this::inForce, membership::view);
+    poller = new EndpointPoller(platform.reports(), assignment, this::reported, clock);
     listener.target(
         MessageRouter.builder()
             .entries(entries)
@@ -205,13 +186,13 @@
   }
 
   private void follow(StreamName stream, StreamListener l) {
-    StreamFollower follower = new StreamFollower(log, stream, l, clock);
+    StreamFollower follower = new StreamFollower(platform.log(), stream, l, clock);
     closeables.add(follower);
     follower.start();
   }
 
   private LogAppender appender(StreamName stream) {
-    LogAppender a = new LogAppender(log, stream);
+    LogAppender a = new LogAppender(platform.log(), stream);
     closeables.add(a);
     return a;
   }
@@ -228,12 +209,9 @@
     PlatformActions actions =
         new PlatformActions(
             appender(StreamName.DECISIONS),
-            HttpEndpointOrders.builder()
-                .loadTimeout(settings.orderTimeout())
-                .traffic(traffic("endpoint_orders"))
-                .build(),
+            platform.orders(),
             orders,
-            () -> configuration.state().configuration(),
+            this::inForce,
             () -> timers.after(Duration.ZERO, this::sendPlacement));
     return new PlacementController(fold, actions, clock);
   }
@@ -298,13 +276,10 @@
   }
 
   private void startPlatformReaders() {
-    HttpVmList list = HttpVmList.builder(settings.vmListUrl()).traffic(traffic("vm_list")).build();
-    HttpWeightStore store =
-        HttpWeightStore.builder(settings.storeUrl()).traffic(traffic("store")).build();
     PlatformReader reader =
         new PlatformReader(
-            () -> list.read().ifPresent(membership::listed),
-            () -> store.status().ifPresent(placement::storeRead));
+            () -> platform.vmList().read().ifPresent(membership::listed),
+            () -> platform.store().status().ifPresent(placement::storeRead));
     closeables.add(reader);
     reader.start();
   }
@@ -348,21 +323,8 @@
     }
   }
 
-  private Collection<EndpointSpec> polledHere() {
-    Configuration c = configuration.state().configuration();
-    List<VmId> live = membership.view().live(Optional.of(settings.failureDomain()));
-    return c.endpoints().values().stream()
-        .filter(e -> e.failureDomain().equals(settings.failureDomain()))
-        .filter(
-            e ->
-                RendezvousHash.owner(e.name().value(), live)
-                    .filter(settings.vm()::equals)
-                    .isPresent())
-        .toList();
-  }
-
-  private HttpTraffic traffic(String service) {
-    return HttpTraffic.of(registry, service);
+  private Configuration inForce() {
+    return configuration.state().configuration();
   }
 
   private void registerMetrics() {
@@ -382,7 +344,7 @@
   }
 
   private long number() {
-    return configuration.state().configuration().number();
+    return inForce().number();
   }
 
   /** Gives back what this VM holds, tells peers, and ends all threads within the stop limit. */
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/PlatformClients.java
@@ -0,0 +1,51 @@
+package io.kumquatspindle.control;
+
+import com.codahale.metrics.MetricRegistry;
+import io.kumquatspindle.api.platform.EndpointOrders;
+import io.kumquatspindle.api.platform.EndpointReports;
+import io.kumquatspindle.api.platform.LogService;
+import io.kumquatspindle.api.platform.VmList;
+import io.kumquatspindle.api.platform.WeightStore;
+import io.kumquatspindle.control.log.CountingLogService;
+import io.kumquatspindle.transport.platform.HttpEndpointOrders;
+import io.kumquatspindle.transport.platform.HttpEndpointReports;
+import io.kumquatspindle.transport.platform.HttpLogService;
+import io.kumquatspindle.transport.platform.HttpTraffic;
+import io.kumquatspindle.transport.platform.HttpVmList;
+import io.kumquatspindle.transport.platform.HttpWeightStore;
+import java.time.Duration;
+
+/**
+ * HTTP clients of the platform and of endpoints, which count their traffic.
+ *
+ * @param log the log service
+ * @param vmList the list of VMs
+ * @param store the weight store
+ * @param orders orders to endpoints
+ * @param reports reports of endpoints
+ */
+record PlatformClients(
+    LogService log,
+    VmList vmList,
+    WeightStore store,
+    EndpointOrders orders,
+    EndpointReports reports) {
+  private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(1);
+
+  static PlatformClients of(ControlSettings s, MetricRegistry registry) {
+    LogService http =
+        HttpLogService.builder(s.logUrl()).traffic(HttpTraffic.of(registry, "log")).build();
+    return new PlatformClients(
+        new CountingLogService(http, registry),
+        HttpVmList.builder(s.vmListUrl()).traffic(HttpTraffic.of(registry, "vm_list")).build(),
+        HttpWeightStore.builder(s.storeUrl()).traffic(HttpTraffic.of(registry, "store")).build(),
+        HttpEndpointOrders.builder()
+            .loadTimeout(s.orderTimeout())
+            .traffic(HttpTraffic.of(registry, "endpoint_orders"))
+            .build(),
+        HttpEndpointReports.builder()
+            .timeout(REPORT_TIMEOUT)
+            .traffic(HttpTraffic.of(registry, "endpoint_reports"))
+            .build());
+  }
+}
