Ask another failure domain when the decider cannot reach the log

Now a refusal of the decider is final only if no other decider is left and this VM does not reach the log either.

--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/router/WantedRouter.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/router/WantedRouter.java
@@ -1,21 +1,29 @@
 package io.kumquatspindle.control.router;
 
+import io.kumquatspindle.api.message.EntryMessage;
 import io.kumquatspindle.api.message.EntryMessage.ModelOutlook;
 import io.kumquatspindle.api.message.EntryMessage.ModelWanted;
+import io.kumquatspindle.api.model.ArtifactName;
+import io.kumquatspindle.api.model.FailureDomain;
 import io.kumquatspindle.api.model.VmId;
 import io.kumquatspindle.control.membership.MembershipController;
 import io.kumquatspindle.control.membership.MembershipView;
 import io.kumquatspindle.control.peer.PeerNetwork;
 import io.kumquatspindle.control.placement.PlacementController;
+import io.kumquatspindle.engine.membership.MemberView;
 import io.kumquatspindle.engine.membership.RendezvousHash;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /**
- * Sends word of a wanted artifact to its decider, so that a burst at many VMs leads to one append.
- * A decider that does not answer is passed over; the log's order allows only one decision anyway.
+ * Asks the decider of a wanted artifact, so that a burst at many VMs leads to one append. A decider
+ * that does not answer is passed over; the log's order allows only one decision anyway.
  */
 public final class WantedRouter {
   private static final Duration DECIDER_TIMEOUT = Duration.ofMillis(500);
@@ -49,36 +57,73 @@
   }
 
   /**
-   * Passes on word from an entry program of this VM.
+   * Passes on a request of an entry program of this VM.
    *
    * @param wanted what is wanted
    * @param reply takes the outlook
    */
   public void wanted(ModelWanted wanted, Consumer<ModelOutlook> reply) {
-    if (!sharedDecider) {
+    if (sharedDecider) {
+      ask(deciders(wanted.artifact()), wanted, reply);
+    } else {
       placement.wanted(wanted, reply);
-      return;
     }
+  }
+
+  /**
+   * Returns the addresses to ask, in order: the decider, then the decider among the other failure
+   * domains, which may reach the log when the first one's does not. Empty if this VM decides.
+   */
+  private Deque<String> deciders(ArtifactName artifact) {
     MembershipView view = members.get();
-    Optional<String> decider =
-        RendezvousHash.owner(wanted.artifact().value(), view.live(Optional.empty()))
-            .filter(owner -> !owner.equals(vm))
-            .flatMap(view::address);
-    if (decider.isEmpty()) {
+    Deque<String> addresses = new ArrayDeque<>();
+    Optional<MemberView> first = owner(artifact, view, v -> true);
+    if (first.isEmpty() || (isSelf(first.get()) && placement.logReachable())) {
+      return addresses;
+    }
+    FailureDomain tried = first.get().member().failureDomain();
+    first.filter(v -> !isSelf(v)).ifPresent(v -> addresses.add(v.member().address()));
+    owner(artifact, view, v -> !isSelf(v) && !v.member().failureDomain().equals(tried))
+        .ifPresent(v -> addresses.add(v.member().address()));
+    return addresses;
+  }
+
+  private boolean isSelf(MemberView v) {
+    return v.member().vm().equals(vm);
+  }
+
+  private static Optional<MemberView> owner(
+      ArtifactName artifact, MembershipView view, Predicate<MemberView> filter) {
+    List<MemberView> candidates =
+        view.members().stream().filter(MemberView::live).filter(filter).toList();
+    List<VmId> vms = candidates.stream().map(v -> v.member().vm()).toList();
+    return RendezvousHash.owner(artifact.value(), vms)
+        .flatMap(
+            owner -> candidates.stream().filter(v -> v.member().vm().equals(owner)).findFirst());
+  }
+
+  private void ask(Deque<String> deciders, ModelWanted wanted, Consumer<ModelOutlook> reply) {
+    if (deciders.isEmpty()) {
       placement.wanted(wanted, reply);
       return;
     }
     peers.ask(
-        decider.get(),
+        deciders.removeFirst(),
         wanted,
         DECIDER_TIMEOUT,
         m -> {
-          if (m instanceof ModelOutlook outlook) {
-            reply.accept(outlook);
+          if (m instanceof ModelOutlook o && isFinal(o, deciders)) {
+            reply.accept(o);
           } else {
-            placement.wanted(wanted, reply);
+            ask(deciders, wanted, reply);
           }
         },
-        reason -> placement.wanted(wanted, reply));
+        reason -> ask(deciders, wanted, reply));
+  }
+
+  // A decider that cannot reach the log refuses; somebody else may reach it.
+  private boolean isFinal(ModelOutlook o, Deque<String> others) {
+    boolean refused = o.outlook() == EntryMessage.Outlook.REFUSED;
+    return !refused || (others.isEmpty() && !placement.logReachable());
   }
 }
