Take the first name for the source of a relayed connection

The relay searched the first bytes of a connection for names of VMs and took the last one of its list. When the hello and the first gossip came in one segment, the connection was taken for one of another VM, which was not cut. Ruled out: confirmations that gain time on their way between VMs of the isolated failure domain. Now the name that comes first counts, and the search goes on until one is found. RelayTests.takesFirstName fails with the former rule.

--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/processes/RelayedConnection.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/processes/RelayedConnection.java
@@ -77,24 +77,28 @@
     }
   }
 
+  // The sender names itself first; a message that follows in the same segment may name others.
   private void identify(ByteBuf data) {
-    identified = true;
+    int first = Integer.MAX_VALUE;
     for (String name : relay.knownSources()) {
-      if (contains(data, name)) {
+      int at = indexOf(data, name);
+      if (at >= 0 && at < first) {
+        first = at;
         source = name;
+        identified = true;
       }
     }
     apply();
   }
 
-  private static boolean contains(ByteBuf data, String name) {
+  private static int indexOf(ByteBuf data, String name) {
     byte[] text = name.getBytes(StandardCharsets.UTF_8);
     for (int i = data.readerIndex(); i + text.length < data.writerIndex(); i++) {
       if (data.getUnsignedByte(i) == (SHORT_TEXT | text.length) && matches(data, i + 1, text)) {
-        return true;
+        return i;
       }
     }
-    return false;
+    return -1;
   }
 
   private static boolean matches(ByteBuf data, int from, byte[] text) {
--- a/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/processes/RelayTests.java
+++ b/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/processes/RelayTests.java
@@ -87,6 +87,16 @@
     return s;
   }
 
+  @Test
+  @DisplayName("takes the first name for the source when a later message names another VM")
+  void takesFirstName() throws IOException {
+    relay.silence(Set.of("vm-1"));
+    try (Socket s = connect()) {
+      s.getOutputStream().write("\u00a4vm-1\u00a5vm-10!".getBytes(StandardCharsets.ISO_8859_1));
+      assertThrows(SocketTimeoutException.class, () -> s.getInputStream().read());
+    }
+  }
+
   @Test
   @DisplayName("passes data in both directions")
   void passes() throws IOException {
