Remove repeated code of the stream owners and unused state

The three owners of streams published offset and reachability in the same words; StreamOwner does it for all now. Adds the missing package pages.

--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlMain.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlMain.java
@@ -23,6 +23,8 @@
   private static final int OK = 0;
   private static final int FAILED = 1;
   private static final int USAGE = 2;
+  // The program goes on after main has returned.
+  private static final int RUNNING = -1;
 
   @AirlineModule HelpOption<ControlMain> help;
 
@@ -61,8 +63,6 @@
     }
   }
 
-  private static final int RUNNING = -1;
-
   private int run() throws SettingsException, IOException {
     ControlSettings s = ControlSettings.load(Path.of(settings));
     if (check) {
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlSettings.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/ControlSettings.java
@@ -56,6 +56,7 @@
   private static final Pattern URL = Pattern.compile("https?://[^\\s/]+(/\\S*)?");
   private static final Duration SECOND = Duration.ofSeconds(1);
   private static final Duration DAY = Duration.ofDays(1);
+  private static final Duration MIN_PERIOD = Duration.ofMillis(50);
 
   /**
    * Reads and checks a settings file.
@@ -101,8 +102,6 @@
     return result;
   }
 
-  private static final Duration MIN_PERIOD = Duration.ofMillis(50);
-
   private static String address(Settings s, String section, String key) {
     return matching(s, section, key, ADDRESS, "an IP address and port, as in 127.0.0.1:7101");
   }
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/admin/package-info.java
@@ -0,0 +1,2 @@
+/** Admin pages: health, metrics, status and explanations. */
+package io.kumquatspindle.control.admin;
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/config/ConfigurationController.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/config/ConfigurationController.java
@@ -9,7 +9,6 @@
 import io.kumquatspindle.control.state.StreamOwner;
 import io.kumquatspindle.transport.duty.Duty;
 import java.util.List;
-import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** Owns the fold of the tickets stream and knows how recently it was confirmed up to date. */
@@ -74,18 +73,8 @@
   }
 
   @Override
-  public long nextOffset() {
-    return handler.nextOffset();
-  }
-
-  @Override
-  public boolean logReachable() {
-    return handler.logReachable();
-  }
-
-  @Override
-  public OptionalLong oldestRecordMs() {
-    return handler.oldestRecordMs();
+  public StreamEventHandler stream() {
+    return handler;
   }
 
   @Override
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/intent/IntentController.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/intent/IntentController.java
@@ -54,7 +54,6 @@
   private boolean appending;
   private long retryAtMs = Long.MIN_VALUE;
   private volatile long nextOffset;
-  private volatile boolean caughtUp;
 
   /**
    * Creates a controller and starts its thread.
@@ -113,15 +112,6 @@
     return nextOffset;
   }
 
-  /**
-   * Tells whether the fold has reached the end of the stream once since the program started.
-   *
-   * @return whether it has
-   */
-  public boolean caughtUp() {
-    return caughtUp;
-  }
-
   @Override
   public void close() {
     duty.close();
@@ -172,7 +162,6 @@
       }
     }
     nextOffset = fold.nextOffset();
-    caughtUp = caughtUp || nextOffset >= read.batch().end();
   }
 
   private void apply(LogRecord r) {
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to other control programs. */
+package io.kumquatspindle.control.peer;
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/placement/PlacementController.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/placement/PlacementController.java
@@ -21,7 +21,6 @@
 import io.kumquatspindle.transport.duty.Duty;
 import java.util.HashSet;
 import java.util.List;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -73,18 +72,8 @@
   }
 
   @Override
-  public long nextOffset() {
-    return handler.nextOffset();
-  }
-
-  @Override
-  public boolean logReachable() {
-    return handler.logReachable();
-  }
-
-  @Override
-  public OptionalLong oldestRecordMs() {
-    return handler.oldestRecordMs();
+  public StreamEventHandler stream() {
+    return handler;
   }
 
   /**
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/quota/QuotaDuty.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/quota/QuotaDuty.java
@@ -27,7 +27,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -86,18 +85,8 @@
   }
 
   @Override
-  public long nextOffset() {
-    return handler.nextOffset();
-  }
-
-  @Override
-  public boolean logReachable() {
-    return handler.logReachable();
-  }
-
-  @Override
-  public OptionalLong oldestRecordMs() {
-    return handler.oldestRecordMs();
+  public StreamEventHandler stream() {
+    return handler;
   }
 
   /**
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/router/package-info.java
@@ -0,0 +1,2 @@
+/** Hands messages to duties and asks other control programs. */
+package io.kumquatspindle.control.router;
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/snapshot/package-info.java
@@ -0,0 +1,2 @@
+/** Snapshots of streams, read and written. */
+package io.kumquatspindle.control.snapshot;
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/state/StreamEventHandler.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/state/StreamEventHandler.java
@@ -13,7 +13,6 @@
   private volatile long nextOffset;
   private volatile boolean logReachable;
   private volatile boolean gap;
-  private volatile boolean caughtUpOnce;
   private volatile OptionalLong oldestRecordMs = OptionalLong.empty();
 
   /**
@@ -56,7 +55,6 @@
     logReachable = true;
     feed.noteEarliest(batch.earliest());
     int applied = feed.offer(batch.records());
-    caughtUpOnce = caughtUpOnce || feed.nextOffset() >= batch.end();
     if (oldestRecordMs.isEmpty() && !batch.records().isEmpty()) {
       oldestRecordMs = OptionalLong.of(batch.records().get(0).timeMs());
     }
@@ -90,15 +88,6 @@
     return gap;
   }
 
-  /**
-   * Tells whether the fold has reached the end of the stream once since the program started.
-   *
-   * @return whether it has
-   */
-  public boolean caughtUpOnce() {
-    return caughtUpOnce;
-  }
-
   /**
    * Returns when the log took the oldest record that was read since the program started.
    *
--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/state/StreamOwner.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/state/StreamOwner.java
@@ -18,26 +18,39 @@
    */
   boolean offer(StreamEvent event);
 
+  /**
+   * Returns how far the fold is, as last published.
+   *
+   * @return the handler that publishes it
+   */
+  StreamEventHandler stream();
+
   /**
    * Returns the next offset that the fold has not applied, as last published.
    *
    * @return the offset
    */
-  long nextOffset();
+  default long nextOffset() {
+    return stream().nextOffset();
+  }
 
   /**
    * Tells whether the last read of the stream succeeded, as last published.
    *
    * @return whether it did
    */
-  boolean logReachable();
+  default boolean logReachable() {
+    return stream().logReachable();
+  }
 
   /**
    * Returns when the log took the oldest record that was read since the program started.
    *
    * @return time in milliseconds since the epoch; empty if none was read
    */
-  OptionalLong oldestRecordMs();
+  default OptionalLong oldestRecordMs() {
+    return stream().oldestRecordMs();
+  }
 
   /**
    * Hands over records from a peer.
--- /dev/null
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/state/package-info.java
@@ -0,0 +1,2 @@
+/** Folds of streams, fed in offset order. */
+package io.kumquatspindle.control.state;
