Let requests wait until new endpoints have reported

Cause: README's first command on a fresh clone, one run: the first two requests got load_refused 168 ms after the ticket came into force, because control had no report of the new endpoints yet. Change: for 2 s after a ticket, such a refusal becomes a wait.

--- a/kumquatspindle-control/src/main/java/io/kumquatspindle/control/placement/PlacementController.java
+++ b/kumquatspindle-control/src/main/java/io/kumquatspindle/control/placement/PlacementController.java
@@ -29,6 +29,8 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private static final int RING_CAPACITY = 1024;
+  // Endpoints that a ticket has just added count as not answering until their first report.
+  private static final long FIRST_REPORTS_MS = 2_000;
 
   private final MonotonicClock clock;
   private final PlacementFoldAdapter fold;
@@ -38,6 +40,7 @@
   private final Duty<PlacementEvent> duty;
   private volatile PlacementUpdate published = new PlacementUpdate(List.of());
   private boolean logReachable = true;
+  private long configuredAtMs;
 
   /**
    * Creates a controller and starts its thread.
@@ -185,6 +188,7 @@
   }
 
   private void configuration(Configuration configuration, long now) {
+    configuredAtMs = now;
     fold.configuration(configuration);
     run(fold.controller().configuration(configuration, now));
     publish();
@@ -194,7 +198,16 @@
     ModelWanted m = w.wanted();
     long deadline = w.receivedAtMs() + m.earliestDeadlineMs();
     run(fold.controller().wanted(m.artifact(), m.customer(), m.waiting(), deadline, now));
-    w.reply().accept(outlooks.of(m.artifact()));
+    w.reply().accept(afterFirstReports(outlooks.of(m.artifact()), now));
+  }
+
+  private ModelOutlook afterFirstReports(ModelOutlook o, long now) {
+    boolean early = now - configuredAtMs < FIRST_REPORTS_MS;
+    if (!early || o.outlook() != EntryMessage.Outlook.REFUSED) {
+      return o;
+    }
+    return new ModelOutlook(
+        o.artifact(), EntryMessage.Outlook.QUEUED, 0, "endpoints have yet to report");
   }
 
   private void used(PlacementEvent.Used u, long now) {
