--- /dev/null
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Configuration, endpoints and requests as the node program sees them, free of wire names. */
+package io.kumquatspindle.api.fleet;
--- /dev/null
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/LoadBoard.java
@@ -0,0 +1,64 @@
+package io.kumquatspindle.engine.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** Loads in progress at all endpoints, as their holders tell. One owner thread. */
+public final class LoadBoard {
+  /** Time past its expected end after which a load that was not heard of is forgotten, in ms. */
+  private static final long OVERDUE_MS = 4_000;
+
+  private final Map<String, Load> byEndpoint = new HashMap<>();
+
+  /**
+   * A load in progress.
+   *
+   * @param model name of the model
+   * @param fromStore whether it comes from the weight store
+   * @param untilMs when it is expected to end, in ms
+   */
+  public record Load(String model, boolean fromStore, long untilMs) {}
+
+  /**
+   * Notes that a load has begun.
+   *
+   * @param endpoint identity of the endpoint
+   * @param load the load
+   */
+  public void begin(String endpoint, Load load) {
+    byEndpoint.put(endpoint, load);
+  }
+
+  /**
+   * Notes that a load has ended.
+   *
+   * @param endpoint identity of the endpoint
+   */
+  public void end(String endpoint) {
+    byEndpoint.remove(endpoint);
+  }
+
+  /**
+   * Returns the load in progress at an endpoint.
+   *
+   * @param endpoint identity of the endpoint
+   * @param now present time, in ms
+   * @return the load, if there is one
+   */
+  public Optional<Load> at(String endpoint, long now) {
+    return Optional.ofNullable(byEndpoint.get(endpoint))
+        .filter(l -> now < l.untilMs() + OVERDUE_MS);
+  }
+
+  /**
+   * Counts the loads from the weight store that are in progress.
+   *
+   * @param now present time, in ms
+   * @return number of loads
+   */
+  public int fromStore(long now) {
+    byEndpoint.values().removeIf(l -> now >= l.untilMs() + OVERDUE_MS);
+    return (int) byEndpoint.values().stream().filter(Load::fromStore).count();
+  }
+}
--- /dev/null
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/ModelDemand.java
@@ -0,0 +1,58 @@
+package io.kumquatspindle.engine.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Requests a second for each model over all VMs, weighted towards the present. One thread. */
+public final class ModelDemand {
+  /** Time in which a count falls to 1/e; models wake and fall idle within some seconds. */
+  public static final double MEMORY_MS = 8_000;
+
+  private final Map<String, Count> counts = new HashMap<>();
+
+  /**
+   * Counts requests.
+   *
+   * @param model name of the model
+   * @param requests number of requests
+   * @param now present time, in ms
+   */
+  public void add(String model, double requests, long now) {
+    Count c = counts.computeIfAbsent(model, m -> new Count());
+    c.value = c.at(now) + requests;
+    c.atMs = now;
+  }
+
+  /**
+   * Returns the requests a second.
+   *
+   * @param model name of the model
+   * @param now present time, in ms
+   * @return requests a second
+   */
+  public double rate(String model, long now) {
+    Count c = counts.get(model);
+    return c == null ? 0 : c.at(now) / (MEMORY_MS / 1_000);
+  }
+
+  /**
+   * Returns how long ago a model was last wanted.
+   *
+   * @param model name of the model
+   * @param now present time, in ms
+   * @return age in ms; {@link Long#MAX_VALUE} if never
+   */
+  public long idleMs(String model, long now) {
+    Count c = counts.get(model);
+    return c == null ? Long.MAX_VALUE : now - c.atMs;
+  }
+
+  private static final class Count {
+    private double value;
+    private long atMs;
+
+    private double at(long now) {
+      return value * Math.exp(-(now - atMs) / MEMORY_MS);
+    }
+  }
+}
--- /dev/null
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderBook.java
@@ -0,0 +1,416 @@
+package io.kumquatspindle.engine.fleet;
+
+import io.kumquatspindle.api.fleet.EngineInfo;
+import io.kumquatspindle.api.fleet.EngineReport;
+import io.kumquatspindle.api.fleet.HeldModel;
+import io.kumquatspindle.api.fleet.ModelInfo;
+import io.kumquatspindle.api.fleet.ModelOrder;
+import io.kumquatspindle.api.fleet.OrderAnswer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Orders of one endpoint, as its only holder gives them: one at a time, each guarded by the count
+ * of orders that the endpoint must have accepted, so that an order that is carried out late changes
+ * nothing. Answers bursts of rare models at one endpoint: wants are served by age, room is made by
+ * evicting what is least wanted, and memory is counted before each load. One owner thread.
+ */
+public final class OrderBook {
+  /** Age of the state that an engine reports, at most; after an order it is asked later. */
+  static final long REPORT_LAG_MS = 500;
+
+  /** Pause before an order that met another one is sent again. */
+  static final long CONFLICT_PAUSE_MS = 60;
+
+  /** Conflicts in a row after which the count of orders is read anew. */
+  private static final int CONFLICTS_BEFORE_REPORT = 4;
+
+  /** Time after its use in which an adapter is not evicted: requests for it may be on their way. */
+  private static final long ADAPTER_IN_USE_MS = 1_500;
+
+  /** Time after its load in which a model is not evicted, so that who waited is served. */
+  private static final long MODEL_IN_USE_MS = 1_200;
+
+  private final Map<String, Resident> residents = new HashMap<>();
+  private final Map<String, Want> wants = new LinkedHashMap<>();
+  private final Set<String> heldBefore = new HashSet<>();
+  private Optional<ModelOrder> unanswered = Optional.empty();
+  private Optional<String> loading = Optional.empty();
+  private boolean reporting;
+  private boolean synced;
+  private long orders;
+  private long lastOrderMs = Long.MIN_VALUE / 2;
+  private long notBeforeMs;
+  private long confirmAtMs;
+  private int conflicts;
+
+  /** What to do next. */
+  public sealed interface Step {
+    /** Ask the endpoint for its state. */
+    record Report() implements Step {}
+
+    /**
+     * Send an order.
+     *
+     * @param order the order
+     */
+    record Send(ModelOrder order) implements Step {}
+  }
+
+  private record Want(String model, String adapter, long sinceMs) {}
+
+  private static final class Resident {
+    private final Map<String, Long> adapters = new HashMap<>();
+    private long usedMs;
+
+    private Resident(long usedMs) {
+      this.usedMs = usedMs;
+    }
+  }
+
+  /**
+   * Notes that a model, or an adapter of it, is wanted at this endpoint.
+   *
+   * @param model name of the model
+   * @param adapter name of the adapter, or empty text
+   * @param now present time, in ms
+   */
+  public void want(String model, String adapter, long now) {
+    wants.putIfAbsent(model + "/" + adapter, new Want(model, adapter, now));
+  }
+
+  /**
+   * Forgets what is wanted since before a time.
+   *
+   * @param beforeMs the time, in ms
+   */
+  public void forgetWantsBefore(long beforeMs) {
+    wants.values().removeIf(w -> w.sinceMs() < beforeMs);
+  }
+
+  /** Forgets the count of orders; the next step reads it anew. */
+  public void unsync() {
+    synced = false;
+  }
+
+  /**
+   * Tells whether the endpoint holds a model, and an adapter if one is named, ready for requests.
+   *
+   * @param model name of the model
+   * @param adapter name of the adapter, or empty text
+   * @return whether it does
+   */
+  public boolean holds(String model, String adapter) {
+    Resident r = residents.get(model);
+    return r != null && (adapter.isEmpty() || r.adapters.containsKey(adapter));
+  }
+
+  /**
+   * Notes a use, so that what is used is evicted last.
+   *
+   * @param model name of the model
+   * @param adapter name of the adapter, or empty text
+   * @param now present time, in ms
+   */
+  public void used(String model, String adapter, long now) {
+    Resident r = residents.get(model);
+    if (r != null) {
+      r.usedMs = now;
+      r.adapters.computeIfPresent(adapter, (a, t) -> now);
+    }
+  }
+
+  /**
+   * Tells whether the endpoint has held a model before, so that its disk has a copy.
+   *
+   * @param model name of the model
+   * @return whether it has
+   */
+  public boolean heldBefore(String model) {
+    return heldBefore.contains(model);
+  }
+
+  public Optional<String> loading() {
+    return loading;
+  }
+
+  public int wantCount() {
+    return wants.size();
+  }
+
+  /**
+   * Decides the next step.
+   *
+   * @param context what the decision needs beside the state of this book
+   * @param now present time, in ms
+   * @return the step, or empty if there is nothing to do now
+   */
+  public Optional<Step> next(OrderContext context, long now) {
+    if (reporting || unanswered.isPresent() || now < notBeforeMs) {
+      return Optional.empty();
+    }
+    if (!synced) {
+      if (wants.isEmpty() || now - lastOrderMs < REPORT_LAG_MS) {
+        return Optional.empty();
+      }
+      reporting = true;
+      return Optional.of(new Step.Report());
+    }
+    if (loading.isPresent() && now >= confirmAtMs) {
+      return send(new ModelOrder(true, loading.get(), Optional.empty(), context.fence(), orders), now);
+    }
+    for (Want w : List.copyOf(wants.values())) {
+      Optional<ModelOrder> order = orderFor(w, context, now);
+      if (order.isPresent()) {
+        return send(order.get(), now);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Takes the state that the endpoint reports.
+   *
+   * @param report the state, or empty if there was no answer
+   * @param now present time, in ms
+   */
+  public void onReport(Optional<EngineReport> report, long now) {
+    reporting = false;
+    if (report.isEmpty()) {
+      notBeforeMs = now + REPORT_LAG_MS;
+      return;
+    }
+    orders = report.get().orders();
+    synced = !report.get().busy();
+    conflicts = 0;
+    loading = Optional.empty();
+    if (!synced) {
+      notBeforeMs = now + REPORT_LAG_MS / 2;
+    }
+    Set<String> names = new HashSet<>();
+    for (HeldModel m : report.get().models()) {
+      names.add(m.name());
+      Resident r = residents.computeIfAbsent(m.name(), n -> new Resident(now));
+      r.adapters.keySet().retainAll(m.adapters());
+      m.adapters().forEach(a -> r.adapters.putIfAbsent(a, now));
+    }
+    residents.keySet().retainAll(names);
+    heldBefore.addAll(names);
+  }
+
+  /**
+   * Takes the answer to the order sent last.
+   *
+   * @param answer the answer
+   * @param context what the decision needs beside the state of this book
+   * @param now present time, in ms
+   * @return what the endpoint holds, or no longer holds, since this answer
+   */
+  public List<Change> onAnswer(OrderAnswer answer, OrderContext context, long now) {
+    ModelOrder order = unanswered.orElseThrow();
+    unanswered = Optional.empty();
+    lastOrderMs = now;
+    switch (answer) {
+      case ACCEPTED -> {
+        conflicts = 0;
+        orders++;
+        return accepted(order, context, now);
+      }
+      case HOLDS -> {
+        conflicts = 0;
+        return holdsAlready(order, now);
+      }
+      case CONFLICT -> {
+        onConflict(order, now);
+        return List.of();
+      }
+      case FENCED, REJECTED, UNKNOWN -> {
+        synced = false;
+        loading = Optional.empty();
+        notBeforeMs = now + CONFLICT_PAUSE_MS;
+        return List.of();
+      }
+      default -> throw new IllegalStateException("no such answer: " + answer);
+    }
+  }
+
+  private void onConflict(ModelOrder order, long now) {
+    conflicts++;
+    if (order.load() && loading.equals(Optional.of(order.model()))) {
+      confirmAtMs = now + CONFLICT_PAUSE_MS;
+      conflicts = 0;
+      return;
+    }
+    notBeforeMs = now + CONFLICT_PAUSE_MS;
+    if (conflicts >= CONFLICTS_BEFORE_REPORT) {
+      synced = false;
+    }
+  }
+
+  private List<Change> accepted(ModelOrder order, OrderContext context, long now) {
+    if (order.adapter().isPresent()) {
+      return adapterChanged(order, now);
+    }
+    if (order.load()) {
+      loading = Optional.of(order.model());
+      confirmAtMs = now + context.loadMs(order.model());
+      return List.of(new Change(order.model(), "", Change.Kind.LOADING));
+    }
+    residents.remove(order.model());
+    return List.of(new Change(order.model(), "", Change.Kind.EVICTED));
+  }
+
+  private List<Change> holdsAlready(ModelOrder order, long now) {
+    if (order.adapter().isPresent()) {
+      orders += order.load() ? 0 : 1;
+      return adapterChanged(order, now);
+    }
+    if (!order.load()) {
+      residents.remove(order.model());
+      return List.of(new Change(order.model(), "", Change.Kind.EVICTED));
+    }
+    loading = Optional.empty();
+    heldBefore.add(order.model());
+    residents.computeIfAbsent(order.model(), m -> new Resident(now)).usedMs = now;
+    wants.remove(order.model() + "/");
+    return List.of(new Change(order.model(), "", Change.Kind.LOADED));
+  }
+
+  private List<Change> adapterChanged(ModelOrder order, long now) {
+    String adapter = order.adapter().orElseThrow();
+    Resident r = residents.get(order.model());
+    if (r == null) {
+      return List.of();
+    }
+    if (order.load()) {
+      r.adapters.put(adapter, now);
+      wants.remove(order.model() + "/" + adapter);
+      return List.of(new Change(order.model(), adapter, Change.Kind.LOADED));
+    }
+    r.adapters.remove(adapter);
+    return List.of(new Change(order.model(), adapter, Change.Kind.EVICTED));
+  }
+
+  private Optional<Step> send(ModelOrder order, long now) {
+    unanswered = Optional.of(order);
+    lastOrderMs = now;
+    return Optional.of(new Step.Send(order));
+  }
+
+  private Optional<ModelOrder> orderFor(Want w, OrderContext context, long now) {
+    if (!w.adapter().isEmpty() && holds(w.model(), w.adapter())) {
+      wants.remove(w.model() + "/" + w.adapter());
+      return Optional.empty();
+    }
+    if (holds(w.model(), "")) {
+      if (w.adapter().isEmpty()) {
+        wants.remove(w.model() + "/");
+        return Optional.empty();
+      }
+      return adapterOrder(w, context, now);
+    }
+    return loading.isPresent() ? Optional.empty() : modelOrder(w, context, now);
+  }
+
+  private Optional<ModelOrder> adapterOrder(Want w, OrderContext context, long now) {
+    EngineInfo engine = context.engine();
+    int held = residents.values().stream().mapToInt(r -> r.adapters.size()).sum();
+    ModelInfo model = engine.models().get(w.model());
+    boolean fits = model != null && usedMb(engine) + model.adapterMb() <= engine.weightsMb();
+    if (held < engine.adapterPlaces() && fits) {
+      return Optional.of(order(true, w.model(), Optional.of(w.adapter()), context));
+    }
+    return oldestAdapter(now)
+        .map(a -> order(false, a.model(), Optional.of(a.adapter()), context));
+  }
+
+  private Optional<ModelOrder> modelOrder(Want w, OrderContext context, long now) {
+    EngineInfo engine = context.engine();
+    ModelInfo model = engine.models().get(w.model());
+    if (model == null || !context.mayLoad(w.model())) {
+      return Optional.empty();
+    }
+    if (usedMb(engine) + model.weightsMb() <= engine.weightsMb()) {
+      return Optional.of(order(true, w.model(), Optional.empty(), context));
+    }
+    return victim(w, context, now).map(m -> order(false, m, Optional.empty(), context));
+  }
+
+  /** Picks the resident whose loss costs callers least. */
+  private Optional<String> victim(Want w, OrderContext context, long now) {
+    String best = null;
+    double bestValue = context.value(w.model());
+    for (Map.Entry<String, Resident> r : residents.entrySet()) {
+      double value = context.keepValue(r.getKey());
+      if (now - r.getValue().usedMs >= MODEL_IN_USE_MS && value < bestValue) {
+        best = r.getKey();
+        bestValue = value;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private Optional<Want> oldestAdapter(long now) {
+    Want best = null;
+    for (Map.Entry<String, Resident> r : residents.entrySet()) {
+      for (Map.Entry<String, Long> a : r.getValue().adapters.entrySet()) {
+        boolean idle = now - a.getValue() >= ADAPTER_IN_USE_MS;
+        if (idle && (best == null || a.getValue() < best.sinceMs())) {
+          best = new Want(r.getKey(), a.getKey(), a.getValue());
+        }
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private double usedMb(EngineInfo engine) {
+    double mb = 0;
+    for (Map.Entry<String, Resident> r : residents.entrySet()) {
+      ModelInfo m = engine.models().get(r.getKey());
+      // A model that the configuration no longer names still takes room; its size is not known.
+      mb += m == null ? engine.weightsMb() : m.weightsMb();
+      mb += m == null ? 0 : m.adapterMb() * r.getValue().adapters.size();
+    }
+    ModelInfo coming = loading.map(engine.models()::get).orElse(null);
+    return mb + (coming == null ? 0 : coming.weightsMb());
+  }
+
+  private ModelOrder order(
+      boolean load, String model, Optional<String> adapter, OrderContext context) {
+    return new ModelOrder(load, model, adapter, context.fence(), orders);
+  }
+
+  /**
+   * Returns the models that the endpoint holds, as far as orders and reports tell.
+   *
+   * @return names of models
+   */
+  public List<String> residents() {
+    return new ArrayList<>(residents.keySet());
+  }
+
+  /**
+   * A change of what the endpoint holds.
+   *
+   * @param model name of the model
+   * @param adapter name of the adapter, or empty text
+   * @param kind what changed
+   */
+  public record Change(String model, String adapter, Kind kind) {
+    /** What changed. */
+    public enum Kind {
+      /** A load has begun. */
+      LOADING,
+      /** It is there. */
+      LOADED,
+      /** It is gone. */
+      EVICTED
+    }
+  }
+}
--- /dev/null
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderContext.java
@@ -0,0 +1,53 @@
+package io.kumquatspindle.engine.fleet;
+
+import io.kumquatspindle.api.fleet.EngineInfo;
+
+/** What the decision on an order needs beside the state of the endpoint's own book. */
+public interface OrderContext {
+
+  /**
+   * Returns what all engines of the service have in common.
+   *
+   * @return the engine's sizes and models
+   */
+  EngineInfo engine();
+
+  /**
+   * Returns the fencing number of this VM.
+   *
+   * @return fencing number
+   */
+  long fence();
+
+  /**
+   * Returns how long the endpoint is expected to take to load a model.
+   *
+   * @param model name of the model
+   * @return time in ms
+   */
+  long loadMs(String model);
+
+  /**
+   * Tells whether a load may begin now, as far as the weight store's limits go.
+   *
+   * @param model name of the model
+   * @return whether it may
+   */
+  boolean mayLoad(String model);
+
+  /**
+   * Returns what it is worth to callers that a copy of a model is loaded.
+   *
+   * @param model name of the model
+   * @return value, in the unit of {@link #keepValue}
+   */
+  double value(String model);
+
+  /**
+   * Returns what it is worth to callers that this endpoint's copy of a model stays.
+   *
+   * @param model name of the model
+   * @return value: requests a second that need this copy, times the time to load it again
+   */
+  double keepValue(String model);
+}
--- /dev/null
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
@@ -0,0 +1,150 @@
+package io.kumquatspindle.engine.fleet;
+
+import io.kumquatspindle.api.fleet.EngineInfo;
+import io.kumquatspindle.api.fleet.EndpointEntry;
+import io.kumquatspindle.api.fleet.ModelInfo;
+import java.util.Collection;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Chooses where a model, or an adapter of it, shall be loaded. Answers rare models that are asked
+ * for at many VMs at once and demand that moves: a copy at hand goes before one in the weight
+ * store, free memory before an eviction, an idle endpoint before one that loads; all VMs that know
+ * the same choose the same.
+ */
+public final class PlacementChooser {
+  /** What another failure domain adds, in ms: a replica there costs traffic between them. */
+  private static final double OTHER_DOMAIN_MS = 100;
+
+  /** Weight of what is evicted: ms for each unit of keep value. */
+  private static final double EVICTION_MS = 1_500;
+
+  /** What an endpoint that is avoided adds, in ms. */
+  private static final double AVOIDED_MS = 30_000;
+
+  private final EndpointTable endpoints;
+  private final ModelDemand demand;
+  private final LoadBoard loads;
+
+  /**
+   * Creates a chooser.
+   *
+   * @param endpoints known endpoints
+   * @param demand demand for models
+   * @param loads loads in progress
+   */
+  public PlacementChooser(EndpointTable endpoints, ModelDemand demand, LoadBoard loads) {
+    this.endpoints = endpoints;
+    this.demand = demand;
+    this.loads = loads;
+  }
+
+  /**
+   * Chooses an endpoint.
+   *
+   * @param service name of the service
+   * @param engine what its engines have in common
+   * @param model name of the model
+   * @param adapter name of the adapter, or empty text
+   * @param domain failure domain that prefers the copy
+   * @param excluded identities of endpoints that shall not be chosen
+   * @param now present time, in ms
+   * @return the endpoint, or empty if there is none
+   */
+  public Optional<Endpoint> choose(
+      String service,
+      EngineInfo engine,
+      String model,
+      String adapter,
+      String domain,
+      Set<String> excluded,
+      long now) {
+    ModelInfo info = engine.models().get(model);
+    if (info == null) {
+      return Optional.empty();
+    }
+    Collection<Endpoint> all = endpoints.of(service);
+    boolean held = all.stream().anyMatch(e -> e.holds(model, "", now) && !excluded.contains(e.id()));
+    Endpoint best = null;
+    double bestMs = 0;
+    for (Endpoint e : all) {
+      if (excluded.contains(e.id()) || (!adapter.isEmpty() && held && !e.holds(model, "", now))) {
+        continue;
+      }
+      double ms = costMs(e, engine, info, now);
+      ms += e.entry().domain().equals(domain) ? 0 : OTHER_DOMAIN_MS;
+      ms += (Hashes.of(model + e.id()) & 0xff) * 0.2;
+      if (best == null || ms < bestMs) {
+        best = e;
+        bestMs = ms;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private double costMs(Endpoint e, EngineInfo engine, ModelInfo model, long now) {
+    double ms = e.avoided(now) ? AVOIDED_MS : 0;
+    if (e.holds(model.name(), "", now)) {
+      return ms + e.use(now) * model.diskMs();
+    }
+    Optional<LoadBoard.Load> running = loads.at(e.id(), now);
+    if (running.isPresent()) {
+      if (running.get().model().equals(model.name())) {
+        return ms;
+      }
+      ms += Math.max(0, running.get().untilMs() - now) + model.diskMs();
+    }
+    return ms + loadMs(e.entry(), model) + evictionMs(e, engine, model, now);
+  }
+
+  /**
+   * Returns how long an endpoint takes to load a model, when it loads nothing else.
+   *
+   * @param entry the endpoint
+   * @param model the model
+   * @return time in ms
+   */
+  public static long loadMs(EndpointEntry entry, ModelInfo model) {
+    if (entry.inMemory().contains(model.name())) {
+      return model.memoryMs();
+    }
+    return entry.onDisk().contains(model.name()) ? model.diskMs() : model.storeMs();
+  }
+
+  private double evictionMs(Endpoint e, EngineInfo engine, ModelInfo model, long now) {
+    double free = engine.weightsMb();
+    double least = Double.MAX_VALUE;
+    for (String m : e.models(now)) {
+      ModelInfo info = engine.models().get(m);
+      free -= info == null ? 0 : info.weightsMb();
+      least = Math.min(least, keepValue(e.entry().service(), m, now));
+    }
+    return free >= model.weightsMb() || least == Double.MAX_VALUE ? 0 : EVICTION_MS * least;
+  }
+
+  /**
+   * Returns what it is worth that one copy of a model stays: requests a second for each copy.
+   *
+   * @param service name of the service
+   * @param model name of the model
+   * @param now present time, in ms
+   * @return value
+   */
+  public double keepValue(String service, String model, long now) {
+    return demand.rate(model, now) / Math.max(1, copies(service, model, now));
+  }
+
+  /**
+   * Counts the copies of a model.
+   *
+   * @param service name of the service
+   * @param model name of the model
+   * @param now present time, in ms
+   * @return endpoints that take work and hold it
+   */
+  public int copies(String service, String model, long now) {
+    return (int)
+        endpoints.of(service).stream().filter(e -> e.holds(model, "", now)).count();
+  }
+}
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
@@ -0,0 +1,109 @@
+package io.kumquatspindle.node;
+
+import com.codahale.metrics.MetricRegistry;
+import io.kumquatspindle.api.fleet.FleetConfiguration;
+import io.kumquatspindle.api.time.MonotonicClock;
+import io.kumquatspindle.engine.fleet.EndpointTable;
+import io.kumquatspindle.engine.fleet.ModelDemand;
+import io.kumquatspindle.node.observe.EventLog;
+import io.netty.channel.EventLoop;
+import java.util.Optional;
+
+/** What all parts of the program share; owned by the event loop's thread. */
+public final class NodeContext {
+  private final NodeSettings settings;
+  private final EventLoop loop;
+  private final MonotonicClock clock;
+  private final EventLog log;
+  private final MetricRegistry metrics;
+  private final EndpointTable endpoints = new EndpointTable();
+  private final ModelDemand demand = new ModelDemand();
+  private Optional<FleetConfiguration> configuration = Optional.empty();
+  private boolean stopping;
+
+  /**
+   * Creates the context.
+   *
+   * @param settings settings of the program
+   * @param loop the event loop
+   * @param clock steady clock
+   * @param log log lines
+   * @param metrics counters and histograms
+   */
+  public NodeContext(
+      NodeSettings settings,
+      EventLoop loop,
+      MonotonicClock clock,
+      EventLog log,
+      MetricRegistry metrics) {
+    this.settings = settings;
+    this.loop = loop;
+    this.clock = clock;
+    this.log = log;
+    this.metrics = metrics;
+  }
+
+  public NodeSettings settings() {
+    return settings;
+  }
+
+  public EventLoop loop() {
+    return loop;
+  }
+
+  public long now() {
+    return clock.nowMs();
+  }
+
+  public MonotonicClock clock() {
+    return clock;
+  }
+
+  public EventLog log() {
+    return log;
+  }
+
+  public MetricRegistry metrics() {
+    return metrics;
+  }
+
+  public EndpointTable endpoints() {
+    return endpoints;
+  }
+
+  public ModelDemand demand() {
+    return demand;
+  }
+
+  public Optional<FleetConfiguration> configuration() {
+    return configuration;
+  }
+
+  /**
+   * Puts a configuration in force.
+   *
+   * @param newer the configuration
+   */
+  public void configuration(FleetConfiguration newer) {
+    configuration = Optional.of(newer);
+  }
+
+  public boolean stopping() {
+    return stopping;
+  }
+
+  /** Notes that the program is stopping. */
+  public void stop() {
+    stopping = true;
+  }
+
+  /**
+   * Runs a task later on the event loop.
+   *
+   * @param delayMs delay in ms
+   * @param task the task
+   */
+  public void after(long delayMs, Runnable task) {
+    loop.schedule(task, delayMs, java.util.concurrent.TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -0,0 +1,232 @@
+package io.kumquatspindle.node;
+
+import com.codahale.metrics.MetricRegistry;
+import io.kumquatspindle.api.fleet.FleetConfiguration;
+import io.kumquatspindle.api.metrics.MetricsText;
+import io.kumquatspindle.api.metrics.ProcessMetrics;
+import io.kumquatspindle.api.time.MonotonicClock;
+import io.kumquatspindle.node.follow.FleetState;
+import io.kumquatspindle.node.follow.Follower;
+import io.kumquatspindle.node.front.Front;
+import io.kumquatspindle.node.front.FrontServer;
+import io.kumquatspindle.node.front.PageServer;
+import io.kumquatspindle.node.observe.EventLog;
+import io.kumquatspindle.node.order.OrderController;
+import io.kumquatspindle.node.order.Owners;
+import io.kumquatspindle.node.order.WaitRoom;
+import io.kumquatspindle.node.peer.PeerMessage;
+import io.kumquatspindle.node.peer.PeerNetwork;
+import io.kumquatspindle.node.peer.Peers;
+import io.kumquatspindle.node.peer.QuotaController;
+import io.kumquatspindle.node.port.EngineCalls;
+import io.kumquatspindle.node.port.HeaderCodec;
+import io.kumquatspindle.node.port.RecordDecoder;
+import io.kumquatspindle.node.port.RecordStore;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.OutputStream;
+import java.security.SecureRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+/** The node program: builds its parts, runs them on one event loop, and stops them in order. */
+public final class NodeProgram {
+  /** Longest wait of a read of the configuration at the store, in ms. */
+  private static final long CONFIGURATION_WAIT_MS = 2_500;
+
+  /** Pause between reads of the endpoints, in ms; well inside the time to leave one alone. */
+  private static final long ENDPOINTS_PAUSE_MS = 600;
+
+  /** Time between looks at orders and waiting requests, in ms. */
+  private static final long TICK_MS = 20;
+
+  /** Time between looks at the group, in ms. */
+  private static final long GROUP_TICK_MS = 100;
+
+  /** Time in which the platform notices that this VM is no longer ready, in ms. */
+  private static final long LISTENER_CLOSE_MS = 2_600;
+
+  /** Time kept for the end of the process before it is killed, in ms. */
+  private static final long STOP_RESERVE_MS = 700;
+
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private final NodeContext node;
+  private final Owners owners;
+  private final FrontServer front;
+  private final PeerNetwork network;
+  private final QuotaController quotas;
+  private final OrderController orders;
+  private final WaitRoom waits;
+  private final Peers peers;
+  private final FleetState state;
+  private final Follower configurations;
+  private final Follower endpoints;
+
+  /**
+   * What the platform's adapter provides.
+   *
+   * @param store makes the client of the store
+   * @param decoder reads records
+   * @param headers translates heads
+   * @param engines makes the client of engines
+   */
+  public record Adapter(
+      Function<NodeContext, RecordStore> store,
+      RecordDecoder decoder,
+      HeaderCodec headers,
+      Function<NodeContext, EngineCalls> engines) {}
+
+  /**
+   * Builds the program; it does nothing yet.
+   *
+   * @param settings settings
+   * @param adapter what the platform's adapter provides
+   * @param output where log lines go
+   */
+  public NodeProgram(NodeSettings settings, Adapter adapter, OutputStream output) {
+    MetricRegistry metrics = new MetricRegistry();
+    MonotonicClock clock = MonotonicClock.system();
+    EventLog log =
+        new EventLog(output, clock, settings.vm(), metrics.counter("log_lines_dropped_total"));
+    EventLoop loop = group.next();
+    node = new NodeContext(settings, loop, clock, log, metrics);
+    network = new PeerNetwork(node, this::onMessage);
+    peers = new Peers(node, network);
+    quotas = new QuotaController(node, peers, new SecureRandom().nextLong());
+    RecordStore store = adapter.store().apply(node);
+    owners = new Owners(node, store, peers, quotas, network.self());
+    orders =
+        new OrderController(node, owners, peers, network, adapter.engines().apply(node));
+    waits = new WaitRoom(node, orders);
+    orders.onChange(waits::tick);
+    state = new FleetState(node, adapter.decoder(), quotas::configured);
+    configurations =
+        new Follower(
+            node,
+            store,
+            RecordStore.Topic.CONFIGURATION,
+            CONFIGURATION_WAIT_MS,
+            0,
+            state.configurations());
+    endpoints =
+        new Follower(
+            node, store, RecordStore.Topic.ENDPOINTS, 0, ENDPOINTS_PAUSE_MS, state.endpoints());
+    front = Front.create(node, adapter.headers(), waits, quotas, peers);
+  }
+
+  /**
+   * Starts the program.
+   *
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public void start() throws InterruptedException {
+    NodeSettings s = node.settings();
+    ProcessMetrics.register(node.metrics());
+    front.start();
+    network.start();
+    PageServer.start(node, s.readyPort(), this::readiness);
+    if (s.metricsPort() != 0) {
+      PageServer.start(
+          node,
+          s.metricsPort(),
+          () -> new PageServer.Page(200, MetricsText.of(node.metrics())));
+    }
+    node.loop().execute(this::run);
+  }
+
+  private void run() {
+    node.log().line("start").field("settings", node.settings().toString()).write();
+    configurations.read();
+    endpoints.read();
+    every(GROUP_TICK_MS, this::groupTick);
+    every(TICK_MS, this::tick);
+    every(Peers.DIGEST_MS, quotas::tell);
+  }
+
+  private void every(long ms, Runnable task) {
+    node.loop().scheduleWithFixedDelay(() -> guarded(task), ms, ms, TimeUnit.MILLISECONDS);
+  }
+
+  private void guarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      node.log().line("internal_error").field("reason", describe(e)).write();
+    }
+  }
+
+  private static String describe(RuntimeException e) {
+    StackTraceElement[] trace = e.getStackTrace();
+    return e + (trace.length > 0 ? " at " + trace[0] : "");
+  }
+
+  private void groupTick() {
+    owners.tick();
+    for (String id : node.endpoints().expire(node.now())) {
+      node.log().line("endpoint_gone").field("endpoint", id).field("reason", "lapsed").write();
+    }
+  }
+
+  private void tick() {
+    orders.tick();
+    waits.tick();
+  }
+
+  private PageServer.Page readiness() {
+    boolean ready = state.known() && !node.stopping();
+    return new PageServer.Page(ready ? 200 : 503, ready ? "ready" : "not ready");
+  }
+
+  private void onMessage(PeerMessage message) {
+    if (message instanceof PeerMessage.Digest d) {
+      peers.heard(d);
+      quotas.heard(d);
+      long version = node.configuration().map(FleetConfiguration::version).orElse(0L);
+      if (d.configuration() > version) {
+        configurations.read();
+      }
+    } else if (message instanceof PeerMessage.Want w) {
+      orders.onWant(w.endpoint(), w.model(), w.adapter());
+    } else if (message instanceof PeerMessage.Changed c) {
+      orders.onChanged(c);
+    }
+  }
+
+  /** Stops the program: no caller that has sent a request is cut off if there is time. */
+  public void stop() {
+    long begunMs = node.now();
+    node.loop()
+        .execute(
+            () -> {
+              node.log().line("stop").write();
+              node.stop();
+              owners.leave(() -> {});
+              node.after(LISTENER_CLOSE_MS, front::stopAccepting);
+              node.after(LISTENER_CLOSE_MS, () -> drain(begunMs));
+            });
+    try {
+      stopped.await(node.settings().graceMs(), TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    node.log().close();
+  }
+
+  private void drain(long begunMs) {
+    front.closeIdle();
+    long limit = begunMs + node.settings().graceMs() - STOP_RESERVE_MS;
+    if (front.busy() == 0 || node.now() >= limit) {
+      node.log().line("stopped").field("cut_off", front.busy()).write();
+      stopped.countDown();
+      return;
+    }
+    node.after(TICK_MS, () -> drain(begunMs));
+  }
+
+  /** Notes that the settings file has changed; what is in it takes effect at the next start. */
+  public void settingsChanged() {
+    node.loop().execute(() -> node.log().line("settings_changed").write());
+  }
+}
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeSettings.java
@@ -0,0 +1,120 @@
+package io.kumquatspindle.node;
+
+import io.kumquatspindle.api.settings.Settings;
+import io.kumquatspindle.api.settings.SettingsException;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * Settings of the node program.
+ *
+ * @param vm name of the VM
+ * @param ip its address
+ * @param domain its failure domain
+ * @param domains all failure domains
+ * @param firstStart whether the whole system starts for the first time
+ * @param callerPort port for callers
+ * @param readyPort port for the platform's readiness checks
+ * @param peerPort port for the other VMs
+ * @param metricsPort port for metrics
+ * @param storeHost address of the store
+ * @param storePort port of the store
+ * @param storePartitions partitions of a topic
+ * @param groupTtlMinMs least time to live of a group's member, in ms
+ * @param fenced whether endpoints refuse lower fencing numbers
+ * @param leaseMs time between orders of two holders, in ms
+ * @param budgetWindowMs window of the budget for second sends, in ms
+ * @param budgetRatio second sends for each request
+ * @param budgetExtra second sends always allowed in a window
+ * @param graceMs time from the order to stop until the process is killed, in ms
+ * @param storeLoadsAtOnce loads from the weight store that run at full speed together
+ */
+public record NodeSettings(
+    String vm,
+    String ip,
+    String domain,
+    List<String> domains,
+    boolean firstStart,
+    int callerPort,
+    int readyPort,
+    int peerPort,
+    int metricsPort,
+    String storeHost,
+    int storePort,
+    int storePartitions,
+    long groupTtlMinMs,
+    boolean fenced,
+    long leaseMs,
+    long budgetWindowMs,
+    double budgetRatio,
+    double budgetExtra,
+    long graceMs,
+    int storeLoadsAtOnce) {
+
+  private static final int MAX_PORT = 65_535;
+  private static final long HOUR_MS = 3_600_000;
+
+  /**
+   * Reads and checks a settings file.
+   *
+   * @param path path of the INI file
+   * @return the settings
+   * @throws SettingsException if a value is faulty, with one line for each fault
+   */
+  public static NodeSettings load(Path path) throws SettingsException {
+    Settings s = Settings.load(path);
+    Address callers = address(s, "listen", "callers");
+    Address ready = address(s, "listen", "ready");
+    Address store = address(s, "store", "address");
+    NodeSettings result =
+        new NodeSettings(
+            s.text("vm", "name"),
+            s.text("vm", "ip"),
+            s.text("vm", "failure_domain"),
+            s.list("vm", "failure_domains"),
+            s.flag("vm", "first_start", false),
+            callers.port(),
+            ready.port(),
+            (int) s.number("listen", "peer_port", 0, 0, MAX_PORT),
+            (int) s.number("listen", "metrics_port", 0, 0, MAX_PORT),
+            store.host(),
+            store.port(),
+            (int) s.number("store", "partitions", 8, 1, 1_000),
+            s.number("store", "member_ttl_min_ms", 1_000, 1, HOUR_MS),
+            s.flag("orders", "fencing", false),
+            s.number("orders", "lease_ms", 3_000, 0, HOUR_MS),
+            s.number("second_sends", "window_s", 10, 1, 3_600) * 1_000,
+            decimal(s, "second_sends", "ratio"),
+            decimal(s, "second_sends", "extra"),
+            s.number("stop", "grace_s", 8, 1, 3_600) * 1_000,
+            (int) s.number("orders", "store_loads_at_once", 4, 1, 1_000));
+    s.finish();
+    return result;
+  }
+
+  private static double decimal(Settings s, String section, String key) {
+    return s.value(section, key, "a number that is not negative", NodeSettings::notNegative)
+        .orElse(0.0);
+  }
+
+  private static java.util.Optional<Double> notNegative(String text) {
+    double d = Double.parseDouble(text);
+    return d >= 0 ? java.util.Optional.of(d) : java.util.Optional.empty();
+  }
+
+  private static Address address(Settings s, String section, String key) {
+    return s.value(section, key, "an address as HOST:PORT", Address::parse)
+        .orElse(new Address("", 0));
+  }
+
+  private record Address(String host, int port) {
+    private static java.util.Optional<Address> parse(String text) {
+      int colon = text.lastIndexOf(':');
+      if (colon < 1) {
+        return java.util.Optional.empty();
+      }
+      int port = Integer.parseInt(text.substring(colon + 1));
+      return java.util.Optional.of(new Address(text.substring(0, colon), port));
+    }
+  }
+}
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/Follower.java
@@ -0,0 +1,134 @@
+package io.kumquatspindle.node.follow;
+
+import io.kumquatspindle.node.NodeContext;
+import io.kumquatspindle.node.port.RecordStore;
+import java.util.List;
+import java.util.OptionalLong;
+
+/**
+ * Follows one topic of the store: the newest record of each key first, then records as they are
+ * written, and the newest again when records were deleted that had not been read.
+ */
+public final class Follower {
+  /** Pause after a failed read, in ms. */
+  private static final long FAILURE_PAUSE_MS = 300;
+
+  private final NodeContext node;
+  private final RecordStore store;
+  private final RecordStore.Topic topic;
+  private final Listener listener;
+  private final long waitMs;
+  private final long pauseMs;
+  private OptionalLong next = OptionalLong.empty();
+  private long failedSinceMs;
+  private boolean failing;
+  private boolean reading;
+
+  /** Gets what is read. All calls are made on the event loop. */
+  public interface Listener {
+    /**
+     * The newest record of each key has been read.
+     *
+     * @param records the records
+     */
+    void all(List<RecordStore.KeyedRecord> records);
+
+    /**
+     * A record has been written.
+     *
+     * @param record the record
+     */
+    void one(RecordStore.KeyedRecord record);
+
+    /**
+     * The store answers again.
+     *
+     * @param afterMs time without an answer, in ms
+     */
+    void regained(long afterMs);
+  }
+
+  /**
+   * Creates a follower.
+   *
+   * @param node shared context
+   * @param store the store
+   * @param topic what to follow
+   * @param waitMs longest time that a read waits at the store, in ms
+   * @param pauseMs pause between reads, in ms
+   * @param listener gets what is read
+   */
+  public Follower(
+      NodeContext node,
+      RecordStore store,
+      RecordStore.Topic topic,
+      long waitMs,
+      long pauseMs,
+      Listener listener) {
+    this.node = node;
+    this.store = store;
+    this.topic = topic;
+    this.waitMs = waitMs;
+    this.pauseMs = pauseMs;
+    this.listener = listener;
+  }
+
+  /** Reads on; called at the start, and goes on by itself. */
+  public void read() {
+    if (reading) {
+      return;
+    }
+    reading = true;
+    if (next.isEmpty()) {
+      store.newest(topic, this::onAnswer);
+    } else {
+      store.read(topic, next.getAsLong(), waitMs, this::onAnswer);
+    }
+  }
+
+  private void onAnswer(RecordStore.ReadAnswer answer) {
+    reading = false;
+    long pause = pauseMs;
+    if (answer instanceof RecordStore.ReadAnswer.Records r) {
+      regained();
+      boolean first = next.isEmpty();
+      next = OptionalLong.of(r.next());
+      if (first) {
+        listener.all(r.records());
+        pause = 0;
+      } else {
+        r.records().forEach(listener::one);
+      }
+    } else if (answer instanceof RecordStore.ReadAnswer.Forgotten) {
+      regained();
+      node.log().line("records_forgotten").field("topic", topic.name()).write();
+      next = OptionalLong.empty();
+      pause = 0;
+    } else if (answer instanceof RecordStore.ReadAnswer.Failed f) {
+      if (!failing) {
+        failing = true;
+        failedSinceMs = node.now();
+        node.log()
+            .line("store_lost")
+            .field("topic", topic.name())
+            .field("reason", f.reason())
+            .write();
+      }
+      pause = FAILURE_PAUSE_MS;
+    }
+    node.after(pause, this::read);
+  }
+
+  private void regained() {
+    if (failing) {
+      failing = false;
+      long after = node.now() - failedSinceMs;
+      node.log()
+          .line("store_regained")
+          .field("topic", topic.name())
+          .field("after_ms", after)
+          .write();
+      listener.regained(after);
+    }
+  }
+}
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/package-info.java
@@ -0,0 +1,2 @@
+/** Following the store: configuration, endpoints and groups. */
+package io.kumquatspindle.node.follow;
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -0,0 +1,420 @@
+package io.kumquatspindle.node.front;
+
+import io.kumquatspindle.api.error.ErrorKind;
+import io.kumquatspindle.api.fleet.CallHead;
+import io.kumquatspindle.api.fleet.CustomerInfo;
+import io.kumquatspindle.api.fleet.FleetConfiguration;
+import io.kumquatspindle.api.fleet.RouteSpec;
+import io.kumquatspindle.engine.fleet.Endpoint;
+import io.kumquatspindle.node.observe.EventLog;
+import io.kumquatspindle.node.order.Waiter;
+import io.kumquatspindle.node.port.HeaderCodec;
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One request of a caller: authorised, charged, placed, sent, and answered once. All calls are made
+ * on the event loop.
+ */
+final class Exchange implements Waiter {
+  /** Time before the deadline at which a request that was not sent is refused, in ms. */
+  private static final long REFUSE_BEFORE_MS = 50;
+
+  /** Endpoints to which one request may fail to connect. */
+  private static final int MOST_UNREACHABLE = 4;
+
+  /** Time for which an endpoint that does not accept connections is avoided, in ms. */
+  private static final long UNREACHABLE_MS = 1_500;
+
+  private final FrontParts parts;
+  private final FullHttpRequest request;
+  private final Answerer answer;
+  private final long arrivedMs;
+  private final Set<String> tried = new HashSet<>();
+  private CallHead head;
+  private RouteSpec route;
+  private Optional<CustomerInfo> customer = Optional.empty();
+  private String service = "";
+  private long deadlineMs;
+  private double charged;
+  private int unreachable;
+  private int sends;
+  private int runs;
+  private Optional<Attempt> attempt = Optional.empty();
+  private ScheduledFuture<?> timer;
+  private boolean waiting;
+  private boolean over;
+
+  Exchange(FrontParts parts, FullHttpRequest request, CallerChannel caller) {
+    this.parts = parts;
+    this.request = request;
+    this.arrivedMs = parts.node().now();
+    this.answer = new Answerer(parts, caller);
+  }
+
+  /** Begins; may answer at once. */
+  void start() {
+    try {
+      head = parts.headers().call(request);
+    } catch (IllegalArgumentException e) {
+      fail(ErrorKind.MALFORMED_REQUEST, 0, String.valueOf(e.getMessage()));
+      return;
+    }
+    Optional<ErrorKind> denied = authorize();
+    if (denied.isPresent()) {
+      fail(denied.get(), retryMs(), "");
+      return;
+    }
+    deadlineMs = arrivedMs + Math.min(head.deadlineMs(), route.timeoutMs());
+    if (!charge()) {
+      return;
+    }
+    service = route.pick(parts.random().nextDouble());
+    parts.budgets().request(service);
+    if (!head.model().isEmpty()) {
+      parts.node().demand().add(head.model(), 1, arrivedMs);
+      parts.quotas().modelUsed(head.model());
+    }
+    long last = Math.max(0, deadlineMs - arrivedMs);
+    timer = parts.node().loop().schedule(this::timeUp, last, TimeUnit.MILLISECONDS);
+    dispatch();
+  }
+
+  private long retryMs() {
+    return DEFAULT_RETRY_MS;
+  }
+
+  /** Time after which a caller may come back when nothing better is known, in ms. */
+  private static final long DEFAULT_RETRY_MS = 400;
+
+  private Optional<ErrorKind> authorize() {
+    Optional<FleetConfiguration> configuration = parts.node().configuration();
+    if (configuration.isEmpty()) {
+      return Optional.of(ErrorKind.STALE_CONFIGURATION);
+    }
+    Optional<RouteSpec> found = configuration.get().route(head.host(), path());
+    if (found.isEmpty()) {
+      return Optional.of(ErrorKind.UNKNOWN_ROUTE);
+    }
+    route = found.get();
+    customer = head.key().flatMap(configuration.get()::customerOfKey);
+    if (customer.isEmpty() && configuration.get().needsKeys() && !route.open()) {
+      return Optional.of(head.key().isEmpty() ? ErrorKind.MISSING_KEY : ErrorKind.UNKNOWN_KEY);
+    }
+    return Optional.empty();
+  }
+
+  private String path() {
+    String uri = request.uri();
+    int query = uri.indexOf('?');
+    return query < 0 ? uri : uri.substring(0, query);
+  }
+
+  private boolean charge() {
+    if (customer.isEmpty()) {
+      return true;
+    }
+    double cost = customer.get().cost(head.tokens());
+    if (parts.quotas().tryTake(customer.get(), cost)) {
+      charged = cost;
+      return true;
+    }
+    long wait = parts.quotas().waitMs(customer.get(), cost);
+    fail(ErrorKind.OVER_RATE, wait, "cost " + (long) cost);
+    return false;
+  }
+
+  private void dispatch() {
+    if (over) {
+      return;
+    }
+    Optional<ErrorKind> denied = authorize();
+    if (denied.isPresent()) {
+      fail(denied.get(), DEFAULT_RETRY_MS, "changed while it waited");
+      return;
+    }
+    if (route.targets().stream().noneMatch(t -> t.service().equals(service))) {
+      service = route.pick(parts.random().nextDouble());
+    }
+    long now = parts.node().now();
+    if (deadlineMs - now < REFUSE_BEFORE_MS) {
+      fail(ErrorKind.DEADLINE_TOO_SHORT, DEFAULT_RETRY_MS, "");
+      return;
+    }
+    List<Endpoint> candidates = candidates(now);
+    Optional<Endpoint> chosen =
+        parts.selector().choose(candidates, tried, head.session(), now);
+    if (chosen.isPresent()) {
+      send(chosen.get(), now);
+    } else if (needsModel()) {
+      waiting = true;
+      parts.waits().enter(this);
+    } else {
+      fail(ErrorKind.NO_ENDPOINT, DEFAULT_RETRY_MS, "candidates " + candidates.size());
+    }
+  }
+
+  private boolean needsModel() {
+    return !head.model().isEmpty()
+        && parts.node().configuration().flatMap(c -> c.service(service)).isPresent();
+  }
+
+  private List<Endpoint> candidates(long now) {
+    List<Endpoint> all = parts.node().endpoints().of(service);
+    if (head.model().isEmpty()) {
+      return all;
+    }
+    return all.stream().filter(e -> e.holds(head.model(), head.adapter(), now)).toList();
+  }
+
+  private void send(Endpoint endpoint, long now) {
+    sends++;
+    tried.add(endpoint.id());
+    int rank = customer.flatMap(c -> opt(c.rank())).orElse(route.rank());
+    Optional<String> resume =
+        answer.resumeAfter().isPresent() ? answer.resumeAfter() : head.resumeAfter();
+    HeaderCodec.Forward forward =
+        new HeaderCodec.Forward(
+            endpoint.id(),
+            Math.max(1, deadlineMs - now),
+            customer.map(CustomerInfo::name),
+            rank,
+            resume);
+    if (!head.model().isEmpty()) {
+      parts.waits().used(endpoint, head.model(), head.adapter());
+    }
+    line("sent")
+        .field("endpoint", endpoint.id())
+        .field("address", endpoint.entry().address())
+        .field("attempt", sends)
+        .field("use_pct", (long) (100 * endpoint.use(now)))
+        .write();
+    attempt = Optional.of(new Attempt(this, parts, endpoint, request, forward, answer));
+    attempt.get().begin();
+  }
+
+  private static Optional<Integer> opt(java.util.OptionalInt i) {
+    return i.isPresent() ? Optional.of(i.getAsInt()) : Optional.empty();
+  }
+
+  /** The endpoint did not accept the connection: the request has not been sent. */
+  void onUnreachable(Endpoint endpoint) {
+    attempt = Optional.empty();
+    long now = parts.node().now();
+    endpoint.avoid(now + UNREACHABLE_MS);
+    line("unreachable").field("endpoint", endpoint.id()).write();
+    if (++unreachable >= MOST_UNREACHABLE && runs == 0) {
+      fail(ErrorKind.NO_ENDPOINT, DEFAULT_RETRY_MS, "not reachable");
+    } else if (answer.started() && unreachable >= MOST_UNREACHABLE) {
+      breakOff("no endpoint to go on at");
+    } else {
+      dispatch();
+    }
+  }
+
+  /** The endpoint stated that the request has not run. */
+  void onNotRun(Endpoint endpoint, int status) {
+    attempt = Optional.empty();
+    long now = parts.node().now();
+    line("not_run").field("endpoint", endpoint.id()).field("status", status).write();
+    if (status == MISDIRECTED && !head.model().isEmpty()) {
+      String adapter = endpoint.holds(head.model(), "", now) ? head.adapter() : "";
+      endpoint.news(head.model(), adapter, false, now);
+    } else {
+      endpoint.avoid(now + FULL_MS);
+    }
+    if (parts.budgets().tryRepeat(service)) {
+      parts.metrics().secondSend("not_run");
+      tried.remove(status == MISDIRECTED ? endpoint.id() : "");
+      dispatch();
+    } else if (runs == 0) {
+      fail(ErrorKind.ENDPOINT_REFUSED, DEFAULT_RETRY_MS, "status " + status);
+    } else {
+      failAfterRun("refused when sent again");
+    }
+  }
+
+  private static final int MISDIRECTED = 421;
+
+  /** Time for which an endpoint that is full is avoided, in ms; about a request's work. */
+  private static final long FULL_MS = 100;
+
+  /** The request may have run and has no usable answer. */
+  void onBroken(Endpoint endpoint, String reason) {
+    attempt = Optional.empty();
+    runs++;
+    endpoint.outcome(true, parts.node().now());
+    line("broken").field("endpoint", endpoint.id()).field("reason", reason).write();
+    boolean mayRepeat = route.repeatable() || route.resumable();
+    if (mayRepeat && runs < route.attempts() && parts.budgets().tryRepeat(service)) {
+      parts.metrics().secondSend("broken");
+      answer.prepareResume();
+      dispatch();
+    } else {
+      failAfterRun(reason);
+    }
+  }
+
+  /** Tells whether a failure that the endpoint answered may be tried elsewhere. */
+  boolean tryElsewhere(Endpoint endpoint) {
+    if (!route.repeatable() || runs + 1 >= route.attempts()) {
+      return false;
+    }
+    boolean others =
+        candidates(parts.node().now()).stream().anyMatch(e -> !tried.contains(e.id()));
+    if (!others || !parts.budgets().tryRepeat(service)) {
+      return false;
+    }
+    parts.metrics().secondSend("failure_answered");
+    attempt = Optional.empty();
+    runs++;
+    line("failure_answered").field("endpoint", endpoint.id()).write();
+    dispatch();
+    return true;
+  }
+
+  private void failAfterRun(String reason) {
+    if (answer.started()) {
+      breakOff(reason);
+    } else {
+      fail(ErrorKind.ENDPOINT_FAILED, 0, reason);
+    }
+  }
+
+  /** The answer has been passed on whole. */
+  void onServed(Endpoint endpoint, int status) {
+    attempt = Optional.empty();
+    long now = parts.node().now();
+    long first = answer.firstByteMs() - arrivedMs;
+    parts.metrics().served(route.name(), status, first, now - arrivedMs);
+    line("served")
+        .field("endpoint", endpoint.id())
+        .field("status", status)
+        .field("first_ms", first)
+        .field("total_ms", now - arrivedMs)
+        .write();
+    end();
+  }
+
+  private void timeUp() {
+    if (over) {
+      return;
+    }
+    if (answer.started()) {
+      breakOff("time is up");
+    } else if (runs > 0 || attempt.map(Attempt::wasSent).orElse(false)) {
+      fail(ErrorKind.DEADLINE_EXCEEDED_RUNNING, 0, "");
+    } else {
+      fail(ErrorKind.DEADLINE_TOO_SHORT, DEFAULT_RETRY_MS, "time is up");
+    }
+  }
+
+  private void breakOff(String reason) {
+    line("broken_off").field("reason", reason).write();
+    parts.metrics().failed(route.name(), ErrorKind.ANSWER_INCOMPLETE);
+    cancelAttempt();
+    end();
+    answer.breakOff();
+  }
+
+  private void fail(ErrorKind kind, long retryAfterMs, String detail) {
+    line("refused")
+        .field("kind", kind.code())
+        .field("status", kind.status())
+        .field("retry_after_ms", retryAfterMs)
+        .field("detail", detail)
+        .field("configuration", parts.node().configuration().map(c -> c.version()).orElse(0L))
+        .write();
+    parts.metrics().failed(route == null ? "" : route.name(), kind);
+    cancelAttempt();
+    if (charged > 0 && kind.ran() == io.kumquatspindle.api.model.Ran.NOT_RUN) {
+      parts.quotas().giveBack(customer.orElseThrow(), charged);
+    }
+    end();
+    answer.refuse(kind, retryAfterMs, head == null ? "" : head.id());
+  }
+
+  void callerLeft() {
+    if (!over) {
+      line("caller_left").field("after_ms", parts.node().now() - arrivedMs).write();
+      cancelAttempt();
+      end();
+    }
+  }
+
+  void callerWritable(boolean writable) {
+    attempt.ifPresent(a -> a.reading(writable));
+  }
+
+  private void cancelAttempt() {
+    attempt.ifPresent(Attempt::cancel);
+    attempt = Optional.empty();
+  }
+
+  private void end() {
+    over = true;
+    if (timer != null) {
+      timer.cancel(false);
+    }
+    if (waiting) {
+      parts.waits().leave(this);
+    }
+    request.release();
+  }
+
+  private EventLog.Line line(String kind) {
+    return parts
+        .node()
+        .log()
+        .line(kind)
+        .field("id", head == null ? "" : head.id())
+        .field("route", route == null ? "" : route.name())
+        .field("age_ms", parts.node().now() - arrivedMs);
+  }
+
+  RouteSpec route() {
+    return route;
+  }
+
+  String id() {
+    return head.id();
+  }
+
+  @Override
+  public String service() {
+    return service;
+  }
+
+  @Override
+  public String model() {
+    return head.model();
+  }
+
+  @Override
+  public String adapter() {
+    return head.adapter();
+  }
+
+  @Override
+  public long deadlineMs() {
+    return deadlineMs;
+  }
+
+  @Override
+  public void proceed() {
+    waiting = false;
+    tried.clear();
+    dispatch();
+  }
+
+  @Override
+  public void refuse(long retryAfterMs) {
+    waiting = false;
+    fail(ErrorKind.LOAD_REFUSED, retryAfterMs, "model " + head.model());
+  }
+}
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontHandler.java
@@ -0,0 +1,108 @@
+package io.kumquatspindle.node.front;
+
+import io.kumquatspindle.node.NodeContext;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+
+/** One caller's connection: its requests one after the other, and its end. */
+final class FrontHandler extends ChannelInboundHandlerAdapter {
+  /** Requests that a caller may send ahead on one connection before it is read no further. */
+  private static final int MOST_AHEAD = 4;
+
+  private final NodeContext node;
+  private final ExchangeFactory exchanges;
+  private final ArrayDeque<FullHttpRequest> ahead = new ArrayDeque<>();
+  private Exchange current;
+
+  FrontHandler(NodeContext node, ExchangeFactory exchanges) {
+    this.node = node;
+    this.exchanges = exchanges;
+  }
+
+  /** Tells whether a request is being answered. */
+  boolean busy() {
+    return current != null || !ahead.isEmpty();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    if (!(message instanceof FullHttpRequest request)) {
+      ReferenceCountUtil.release(message);
+      return;
+    }
+    if (current != null) {
+      ahead.addLast(request);
+      ctx.channel().config().setAutoRead(ahead.size() < MOST_AHEAD);
+      return;
+    }
+    begin(ctx, request);
+  }
+
+  private void begin(ChannelHandlerContext ctx, FullHttpRequest request) {
+    if (request.decoderResult().isFailure()) {
+      boolean long0 = request.decoderResult().cause() instanceof TooLongFrameException;
+      request.release();
+      refuse(
+          ctx,
+          long0
+              ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+              : HttpResponseStatus.BAD_REQUEST);
+      return;
+    }
+    boolean close = node.stopping() || !HttpUtil.isKeepAlive(request);
+    CallerChannel answer = new CallerChannel(ctx.channel(), close, () -> ended(ctx));
+    current = exchanges.create(request, answer);
+    current.start();
+  }
+
+  private void refuse(ChannelHandlerContext ctx, HttpResponseStatus status) {
+    DefaultFullHttpResponse answer =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    answer.headers().set(HttpHeaderNames.CONNECTION, "close");
+    ctx.writeAndFlush(answer).addListener(io.netty.channel.ChannelFutureListener.CLOSE);
+  }
+
+  private void ended(ChannelHandlerContext ctx) {
+    current = null;
+    FullHttpRequest next = ahead.pollFirst();
+    ctx.channel().config().setAutoRead(true);
+    if (next != null) {
+      begin(ctx, next);
+    } else if (node.stopping()) {
+      ctx.close();
+    }
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (current != null) {
+      current.callerWritable(ctx.channel().isWritable());
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    ahead.forEach(ReferenceCountUtil::release);
+    ahead.clear();
+    if (current != null) {
+      current.callerLeft();
+      current = null;
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    ctx.close();
+  }
+}
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontMetrics.java
@@ -0,0 +1,35 @@
+package io.kumquatspindle.node.front;
+
+import com.codahale.metrics.MetricRegistry;
+import io.kumquatspindle.api.error.ErrorKind;
+import io.kumquatspindle.api.metrics.MetricsText;
+import java.util.concurrent.TimeUnit;
+
+/** Counters and histograms of requests, by route kind and outcome. */
+final class FrontMetrics {
+  private final MetricRegistry registry;
+
+  FrontMetrics(MetricRegistry registry) {
+    this.registry = registry;
+  }
+
+  void served(String route, int status, long firstByteMs, long totalMs) {
+    registry.counter(MetricsText.name("requests_total", "route", route, "status", "" + status)).inc();
+    registry
+        .timer(MetricsText.name("first_byte_seconds", "route", route))
+        .update(firstByteMs, TimeUnit.MILLISECONDS);
+    registry
+        .timer(MetricsText.name("request_seconds", "route", route))
+        .update(totalMs, TimeUnit.MILLISECONDS);
+  }
+
+  void failed(String route, ErrorKind kind) {
+    registry
+        .counter(MetricsText.name("failed_total", "route", route, "kind", kind.code()))
+        .inc();
+  }
+
+  void secondSend(String why) {
+    registry.counter(MetricsText.name("second_sends_total", "why", why)).inc();
+  }
+}
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/package-info.java
@@ -0,0 +1,2 @@
+/** Callers' connections and requests. */
+package io.kumquatspindle.node.front;
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/observe/package-info.java
@@ -0,0 +1,2 @@
+/** Log lines and metrics. */
+package io.kumquatspindle.node.observe;
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -0,0 +1,317 @@
+package io.kumquatspindle.node.order;
+
+import com.codahale.metrics.Counter;
+import io.kumquatspindle.api.fleet.EngineInfo;
+import io.kumquatspindle.api.fleet.ModelInfo;
+import io.kumquatspindle.api.fleet.OrderAnswer;
+import io.kumquatspindle.engine.fleet.Endpoint;
+import io.kumquatspindle.engine.fleet.LoadBoard;
+import io.kumquatspindle.engine.fleet.OrderBook;
+import io.kumquatspindle.engine.fleet.PlacementChooser;
+import io.kumquatspindle.node.NodeContext;
+import io.kumquatspindle.node.peer.PeerMessage;
+import io.kumquatspindle.node.peer.PeerNetwork;
+import io.kumquatspindle.node.peer.Peers;
+import io.kumquatspindle.node.port.EngineCalls;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Gives orders to the endpoints that this VM holds, and tells other VMs what is wanted there. */
+public final class OrderController {
+  /** Age after which a want is forgotten unless it is told again, in ms. */
+  private static final long WANT_VALID_MS = 3_000;
+
+  private final NodeContext node;
+  private final Owners owners;
+  private final Peers peers;
+  private final PeerNetwork network;
+  private final EngineCalls engines;
+  private final LoadBoard loads = new LoadBoard();
+  private final PlacementChooser chooser;
+  private final Map<String, OrderBook> books = new HashMap<>();
+  private final Map<String, Long> born = new HashMap<>();
+  private final Counter sent;
+  private Runnable changed = () -> {};
+
+  /**
+   * Creates the controller.
+   *
+   * @param node shared context
+   * @param owners who orders which endpoints
+   * @param peers the other VMs
+   * @param network connections to them
+   * @param engines calls to engines
+   */
+  public OrderController(
+      NodeContext node, Owners owners, Peers peers, PeerNetwork network, EngineCalls engines) {
+    this.node = node;
+    this.owners = owners;
+    this.peers = peers;
+    this.network = network;
+    this.engines = engines;
+    this.chooser = new PlacementChooser(node.endpoints(), node.demand(), loads);
+    this.sent = node.metrics().counter("orders_total");
+  }
+
+  /**
+   * Sets what is called when an endpoint holds something new.
+   *
+   * @param listener called on the event loop
+   */
+  public void onChange(Runnable listener) {
+    changed = listener;
+  }
+
+  /**
+   * Wants a model, or an adapter of it, at the endpoint that suits best.
+   *
+   * @param service name of the service
+   * @param model name of the model
+   * @param adapter name of the adapter, or empty text
+   * @param asked endpoints that were asked before and did not help; the choice is added
+   */
+  public void want(String service, String model, String adapter, Set<String> asked) {
+    Optional<EngineInfo> engine = engine(service);
+    if (engine.isEmpty()) {
+      return;
+    }
+    long now = node.now();
+    String domain = node.settings().domain();
+    Optional<Endpoint> chosen =
+        chooser.choose(service, engine.get(), model, adapter, domain, Set.of(), now);
+    if (chosen.isEmpty()) {
+      return;
+    }
+    Endpoint e = chosen.get();
+    asked.add(e.id());
+    String its = e.entry().domain();
+    if (owners.holds(e.id(), its)) {
+      onWant(e.id(), model, adapter);
+      return;
+    }
+    Optional<String> holder = owners.holder(e.id(), its);
+    node.log()
+        .line("want")
+        .field("endpoint", e.id())
+        .field("model", model)
+        .field("adapter", adapter)
+        .field("holder", holder.orElse(""))
+        .write();
+    holder.ifPresent(h -> network.send(h, new PeerMessage.Want(e.id(), model, adapter)));
+  }
+
+  /**
+   * Takes a want at an endpoint.
+   *
+   * @param endpoint identity of the endpoint
+   * @param model name of the model
+   * @param adapter name of the adapter, or empty text
+   */
+  public void onWant(String endpoint, String model, String adapter) {
+    Optional<Endpoint> e = node.endpoints().find(endpoint);
+    if (e.isPresent() && owners.holds(endpoint, e.get().entry().domain())) {
+      OrderBook book = book(e.get());
+      if (book.holds(model, adapter)) {
+        tell(e.get(), new OrderBook.Change(model, adapter, OrderBook.Change.Kind.LOADED));
+        return;
+      }
+      if (!adapter.isEmpty() && !book.holds(model, "")) {
+        book.want(model, "", node.now());
+      }
+      book.want(model, adapter, node.now());
+      step(e.get(), book);
+    }
+  }
+
+  /**
+   * Takes a change that another VM made at an endpoint.
+   *
+   * @param c the change
+   */
+  public void onChanged(PeerMessage.Changed c) {
+    long now = node.now();
+    node.endpoints()
+        .find(c.endpoint())
+        .ifPresent(e -> apply(e, c.model(), c.adapter(), c.kind(), c.fromStore(), c.forMs(), now));
+  }
+
+  /**
+   * Notes that a model is used at an endpoint.
+   *
+   * @param endpoint the endpoint
+   * @param model name of the model
+   * @param adapter name of the adapter, or empty text
+   */
+  public void used(Endpoint endpoint, String model, String adapter) {
+    OrderBook book = books.get(endpoint.id());
+    if (book != null) {
+      book.used(model, adapter, node.now());
+    }
+  }
+
+  /** Called several times a second: goes on with what is wanted. */
+  public void tick() {
+    long now = node.now();
+    books.keySet().removeIf(id -> forgotten(id));
+    for (Map.Entry<String, OrderBook> b : List.copyOf(books.entrySet())) {
+      b.getValue().forgetWantsBefore(now - WANT_VALID_MS);
+      node.endpoints().find(b.getKey()).ifPresent(e -> step(e, b.getValue()));
+    }
+  }
+
+  private boolean forgotten(String id) {
+    Optional<Endpoint> e = node.endpoints().find(id);
+    return e.isEmpty() || !owners.holds(id, e.get().entry().domain());
+  }
+
+  private OrderBook book(Endpoint e) {
+    Long start = born.put(e.id(), e.entry().bornMs());
+    if (start != null && start != e.entry().bornMs()) {
+      books.remove(e.id());
+    }
+    return books.computeIfAbsent(e.id(), id -> new OrderBook());
+  }
+
+  private void step(Endpoint e, OrderBook book) {
+    if (!owners.mayOrder(e.id()) || e.entry().leaving()) {
+      return;
+    }
+    Optional<EngineInfo> engine = engine(e.entry().service());
+    if (engine.isEmpty()) {
+      return;
+    }
+    Context context = new Context(e, book, engine.get());
+    Optional<OrderBook.Step> step = book.next(context, node.now());
+    if (step.isEmpty()) {
+      return;
+    }
+    if (step.get() instanceof OrderBook.Step.Send s) {
+      sent.inc();
+      engines.order(e.entry(), s.order(), a -> onAnswer(e, book, context, s, a));
+    } else {
+      engines.report(
+          e.entry(),
+          r -> {
+            node.log()
+                .line("report")
+                .field("endpoint", e.id())
+                .field("orders", r.map(x -> x.orders()).orElse(-1L))
+                .field("models", r.map(x -> x.models().toString()).orElse(""))
+                .write();
+            book.onReport(r, node.now());
+            step(e, book);
+          });
+    }
+  }
+
+  private void onAnswer(
+      Endpoint e, OrderBook book, Context context, OrderBook.Step.Send s, OrderAnswer answer) {
+    node.log()
+        .line("order")
+        .field("endpoint", e.id())
+        .field("op", s.order().load() ? "load" : "evict")
+        .field("model", s.order().model())
+        .field("adapter", s.order().adapter().orElse(""))
+        .field("fence", s.order().fence())
+        .field("expected_orders", s.order().expectedOrders())
+        .field("answer", answer.name().toLowerCase(java.util.Locale.ROOT))
+        .write();
+    if (answer == OrderAnswer.FENCED) {
+      owners.outranked(e.id());
+    }
+    book.onAnswer(answer, context, node.now()).forEach(c -> tell(e, c));
+    step(e, book);
+  }
+
+  private void tell(Endpoint e, OrderBook.Change c) {
+    PeerMessage.Changed.Kind kind = PeerMessage.Changed.Kind.valueOf(c.kind().name());
+    boolean fromStore = false;
+    long forMs = 0;
+    if (kind == PeerMessage.Changed.Kind.LOADING) {
+      ModelInfo m = engine(e.entry().service()).map(x -> x.models().get(c.model())).orElse(null);
+      forMs = m == null ? 0 : PlacementChooser.loadMs(e.entry(), m);
+      fromStore = m != null && forMs == m.storeMs() && !book(e).heldBefore(c.model());
+    }
+    apply(e, c.model(), c.adapter(), kind, fromStore, forMs, node.now());
+    peers.broadcast(
+        new PeerMessage.Changed(e.id(), c.model(), c.adapter(), kind, fromStore, forMs));
+  }
+
+  private void apply(
+      Endpoint e,
+      String model,
+      String adapter,
+      PeerMessage.Changed.Kind kind,
+      boolean fromStore,
+      long forMs,
+      long now) {
+    switch (kind) {
+      case LOADING -> loads.begin(e.id(), new LoadBoard.Load(model, fromStore, now + forMs));
+      case LOADED -> {
+        if (adapter.isEmpty()) {
+          loads.end(e.id());
+        }
+        e.news(model, adapter, true, now);
+        changed.run();
+      }
+      case EVICTED -> e.news(model, adapter, false, now);
+      default -> throw new IllegalStateException("no such change: " + kind);
+    }
+  }
+
+  private Optional<EngineInfo> engine(String service) {
+    return node.configuration().flatMap(c -> c.service(service)).flatMap(s -> s.engine());
+  }
+
+  private final class Context implements io.kumquatspindle.engine.fleet.OrderContext {
+    private final Endpoint endpoint;
+    private final OrderBook book;
+    private final EngineInfo engine;
+
+    private Context(Endpoint endpoint, OrderBook book, EngineInfo engine) {
+      this.endpoint = endpoint;
+      this.book = book;
+      this.engine = engine;
+    }
+
+    @Override
+    public EngineInfo engine() {
+      return engine;
+    }
+
+    @Override
+    public long fence() {
+      return owners.fence();
+    }
+
+    @Override
+    public long loadMs(String model) {
+      ModelInfo m = engine.models().get(model);
+      long ms = PlacementChooser.loadMs(endpoint.entry(), m);
+      return ms == m.storeMs() && book.heldBefore(model) ? m.memoryMs() : ms;
+    }
+
+    @Override
+    public boolean mayLoad(String model) {
+      ModelInfo m = engine.models().get(model);
+      boolean store = loadMs(model) == m.storeMs();
+      return !store || loads.fromStore(node.now()) < node.settings().storeLoadsAtOnce();
+    }
+
+    @Override
+    public double value(String model) {
+      long now = node.now();
+      int copies = chooser.copies(endpoint.entry().service(), model, now);
+      double rate = node.demand().rate(model, now);
+      return copies == 0 ? rate + 1 : rate / (copies + 1);
+    }
+
+    @Override
+    public double keepValue(String model) {
+      return chooser.keepValue(endpoint.entry().service(), model, node.now());
+    }
+  }
+}
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
@@ -0,0 +1,131 @@
+package io.kumquatspindle.node.order;
+
+import io.kumquatspindle.api.fleet.EngineInfo;
+import io.kumquatspindle.engine.fleet.Endpoint;
+import io.kumquatspindle.node.NodeContext;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Requests that wait until an endpoint holds their model or adapter. */
+public final class WaitRoom {
+  /** Time after which a want that changed nothing is told again, perhaps elsewhere, in ms. */
+  private static final long ASK_AGAIN_MS = 1_000;
+
+  /** Requests that wait at one VM, at most; each holds its body, some KB. */
+  private static final int MOST_WAITING = 1_000;
+
+  /** When a request comes back that found the room full, in ms. */
+  private static final long FULL_RETRY_MS = 1_000;
+
+  private final NodeContext node;
+  private final OrderController orders;
+  private final Map<Key, Queue> queues = new LinkedHashMap<>();
+  private int waiting;
+
+  private record Key(String service, String model, String adapter) {}
+
+  private static final class Queue {
+    private final List<Waiter> waiters = new ArrayList<>();
+    private final Set<String> asked = new HashSet<>();
+    private long askedMs = Long.MIN_VALUE / 2;
+  }
+
+  /**
+   * Creates an empty room.
+   *
+   * @param node shared context
+   * @param orders gets what is wanted
+   */
+  public WaitRoom(NodeContext node, OrderController orders) {
+    this.node = node;
+    this.orders = orders;
+  }
+
+  /**
+   * Takes a request that waits; it is told to proceed or refused unless it leaves.
+   *
+   * @param waiter the request
+   */
+  public void enter(Waiter waiter) {
+    Optional<EngineInfo> engine =
+        node.configuration().flatMap(c -> c.service(waiter.service())).flatMap(s -> s.engine());
+    if (engine.isEmpty()
+        || !engine.get().models().containsKey(waiter.model())
+        || waiting >= MOST_WAITING) {
+      waiter.refuse(FULL_RETRY_MS);
+      return;
+    }
+    Key key = key(waiter);
+    Queue q = queues.computeIfAbsent(key, k -> new Queue());
+    q.waiters.add(waiter);
+    waiting++;
+    ask(key, q);
+  }
+
+  /**
+   * Takes a request out.
+   *
+   * @param waiter the request
+   */
+  public void leave(Waiter waiter) {
+    Queue q = queues.get(key(waiter));
+    if (q != null && q.waiters.remove(waiter)) {
+      waiting--;
+      if (q.waiters.isEmpty()) {
+        queues.remove(key(waiter));
+      }
+    }
+  }
+
+  /** Lets requests proceed whose model is held now, and asks again for the others. */
+  public void tick() {
+    for (Map.Entry<Key, Queue> e : List.copyOf(queues.entrySet())) {
+      if (held(e.getKey())) {
+        queues.remove(e.getKey());
+        waiting -= e.getValue().waiters.size();
+        e.getValue().waiters.forEach(Waiter::proceed);
+      } else {
+        ask(e.getKey(), e.getValue());
+      }
+    }
+  }
+
+  /**
+   * Notes that a model is used at an endpoint.
+   *
+   * @param endpoint the endpoint
+   * @param model name of the model
+   * @param adapter name of the adapter, or empty text
+   */
+  public void used(Endpoint endpoint, String model, String adapter) {
+    orders.used(endpoint, model, adapter);
+  }
+
+  public int waiting() {
+    return waiting;
+  }
+
+  private boolean held(Key k) {
+    long now = node.now();
+    return node.endpoints().of(k.service()).stream()
+        .anyMatch(e -> e.holds(k.model(), k.adapter(), now) && !e.avoided(now));
+  }
+
+  private void ask(Key k, Queue q) {
+    long now = node.now();
+    if (now - q.askedMs < ASK_AGAIN_MS) {
+      return;
+    }
+    q.askedMs = now;
+    orders.want(k.service(), k.model(), k.adapter(), q.asked);
+  }
+
+  private static Key key(Waiter w) {
+    return new Key(w.service(), w.model(), w.adapter());
+  }
+}
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/package-info.java
@@ -0,0 +1,2 @@
+/** The node program: everything between callers and endpoints on one VM, in one process. */
+package io.kumquatspindle.node;
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerCodec.java
@@ -0,0 +1,81 @@
+package io.kumquatspindle.node.peer;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** Messages as MessagePack: a number for the kind, then the fields in order. */
+final class PeerCodec {
+  private static final int DIGEST = 1;
+  private static final int WANT = 2;
+  private static final int CHANGED = 3;
+
+  private PeerCodec() {}
+
+  static byte[] encode(PeerMessage message) throws IOException {
+    try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+      if (message instanceof PeerMessage.Digest d) {
+        p.packInt(DIGEST).packLong(d.process()).packString(d.address()).packString(d.domain());
+        p.packLong(d.configuration()).packBoolean(d.deaf()).packMapHeader(d.consumed().size());
+        for (Map.Entry<String, Double> e : d.consumed().entrySet()) {
+          p.packString(e.getKey()).packDouble(e.getValue());
+        }
+        p.packMapHeader(d.models().size());
+        for (Map.Entry<String, Long> e : d.models().entrySet()) {
+          p.packString(e.getKey()).packLong(e.getValue());
+        }
+      } else if (message instanceof PeerMessage.Want w) {
+        p.packInt(WANT).packString(w.endpoint()).packString(w.model()).packString(w.adapter());
+      } else if (message instanceof PeerMessage.Changed c) {
+        p.packInt(CHANGED).packString(c.endpoint()).packString(c.model()).packString(c.adapter());
+        p.packInt(c.kind().ordinal()).packBoolean(c.fromStore()).packLong(c.forMs());
+      }
+      return p.toByteArray();
+    }
+  }
+
+  static PeerMessage decode(byte[] bytes) throws IOException {
+    try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes)) {
+      int kind = u.unpackInt();
+      return switch (kind) {
+        case DIGEST -> digest(u);
+        case WANT -> new PeerMessage.Want(u.unpackString(), u.unpackString(), u.unpackString());
+        case CHANGED -> changed(u);
+        default -> throw new IOException("unknown kind of message: " + kind);
+      };
+    }
+  }
+
+  private static PeerMessage digest(MessageUnpacker u) throws IOException {
+    long process = u.unpackLong();
+    String address = u.unpackString();
+    String domain = u.unpackString();
+    long configuration = u.unpackLong();
+    boolean deaf = u.unpackBoolean();
+    Map<String, Double> consumed = new HashMap<>();
+    for (int n = u.unpackMapHeader(); n > 0; n--) {
+      consumed.put(u.unpackString(), u.unpackDouble());
+    }
+    Map<String, Long> models = new HashMap<>();
+    for (int n = u.unpackMapHeader(); n > 0; n--) {
+      models.put(u.unpackString(), u.unpackLong());
+    }
+    return new PeerMessage.Digest(process, address, domain, configuration, deaf, consumed, models);
+  }
+
+  private static PeerMessage changed(MessageUnpacker u) throws IOException {
+    String endpoint = u.unpackString();
+    String model = u.unpackString();
+    String adapter = u.unpackString();
+    int kind = u.unpackInt();
+    PeerMessage.Changed.Kind[] kinds = PeerMessage.Changed.Kind.values();
+    if (kind < 0 || kind >= kinds.length) {
+      throw new IOException("unknown kind of change: " + kind);
+    }
+    return new PeerMessage.Changed(
+        endpoint, model, adapter, kinds[kind], u.unpackBoolean(), u.unpackLong());
+  }
+}
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
@@ -0,0 +1,134 @@
+package io.kumquatspindle.node.peer;
+
+import io.kumquatspindle.node.NodeContext;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** The other VMs: who is known, who is heard, and the digests that are exchanged with them. */
+public final class Peers {
+  /** Time between digests, in ms; bounds what a customer gets beyond its rate. */
+  public static final long DIGEST_MS = 200;
+
+  /** Silence after which a peer is taken not to be heard, in ms; five digests. */
+  static final long SILENT_MS = 1_000;
+
+  /** Silence after which a peer that no group names is forgotten, in ms. */
+  private static final long FORGET_MS = 10_000;
+
+  private final NodeContext node;
+  private final PeerNetwork network;
+  private final Map<String, Peer> byAddress = new HashMap<>();
+
+  private static final class Peer {
+    private long heardMs = Long.MIN_VALUE / 2;
+    private long knownMs;
+    private String domain = "";
+  }
+
+  /**
+   * Creates the list, empty.
+   *
+   * @param node shared context
+   * @param network connections to the other VMs
+   */
+  public Peers(NodeContext node, PeerNetwork network) {
+    this.node = node;
+    this.network = network;
+  }
+
+  /**
+   * Takes the members that the groups name.
+   *
+   * @param addresses addresses for peers
+   */
+  public void members(Set<String> addresses) {
+    addresses.stream().filter(a -> !a.equals(network.self())).forEach(a -> known(a));
+  }
+
+  private Peer known(String address) {
+    Peer p = byAddress.get(address);
+    if (p == null) {
+      p = new Peer();
+      byAddress.put(address, p);
+      node.log().line("peer_known").field("peer", address).write();
+    }
+    p.knownMs = node.now();
+    return p;
+  }
+
+  /**
+   * Takes the fact that a digest has arrived.
+   *
+   * @param digest the digest
+   */
+  public void heard(PeerMessage.Digest digest) {
+    Peer p = known(digest.address());
+    long now = node.now();
+    if (now - p.heardMs > SILENT_MS) {
+      node.log().line("peer_heard").field("peer", digest.address()).write();
+    }
+    p.heardMs = now;
+    p.domain = digest.domain();
+    if (digest.deaf()) {
+      network.reset(digest.address());
+    }
+  }
+
+  /**
+   * Tells whether a peer has been heard lately.
+   *
+   * @param address address of the peer
+   * @return whether it has
+   */
+  public boolean audible(String address) {
+    Peer p = byAddress.get(address);
+    return p != null && node.now() - p.heardMs <= SILENT_MS;
+  }
+
+  /**
+   * Returns the peers to send to.
+   *
+   * @return addresses
+   */
+  public List<String> addresses() {
+    long now = node.now();
+    byAddress
+        .values()
+        .removeIf(p -> now - p.knownMs > FORGET_MS && now - p.heardMs > FORGET_MS);
+    return List.copyOf(byAddress.keySet());
+  }
+
+  /**
+   * Sends a message to all peers.
+   *
+   * @param message the message
+   */
+  public void broadcast(PeerMessage message) {
+    addresses().forEach(a -> network.send(a, message));
+  }
+
+  /**
+   * Returns the number of VMs, this one included.
+   *
+   * @return at least 1
+   */
+  public int vms() {
+    return byAddress.size() + 1;
+  }
+
+  /**
+   * Returns the share of all VMs that this one hears, itself included.
+   *
+   * @return share, more than 0, at most 1
+   */
+  public double audibleShare() {
+    long heard = byAddress.keySet().stream().filter(this::audible).count();
+    return (heard + 1.0) / vms();
+  }
+
+  PeerNetwork network() {
+    return network;
+  }
+}
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
@@ -0,0 +1,153 @@
+package io.kumquatspindle.node.peer;
+
+import io.kumquatspindle.api.fleet.CustomerInfo;
+import io.kumquatspindle.api.fleet.FleetConfiguration;
+import io.kumquatspindle.engine.fleet.FleetQuota;
+import io.kumquatspindle.node.NodeContext;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Customers' rates over all VMs, and the digests that carry what was consumed. */
+public final class QuotaController {
+  /** Share of the rate until the other VMs are known; a site has at least 7 VMs. */
+  private static final double UNKNOWN_SHARE = 0.125;
+
+  private final NodeContext node;
+  private final Peers peers;
+  private final Map<String, FleetQuota> byCustomer = new HashMap<>();
+  private final Map<String, Map<String, Double>> early = new HashMap<>();
+  private final Map<String, Long> modelUses = new HashMap<>();
+  private final long process;
+  private boolean membersKnown;
+
+  /**
+   * Creates the controller.
+   *
+   * @param node shared context
+   * @param peers the other VMs
+   * @param process random identity of this process
+   */
+  public QuotaController(NodeContext node, Peers peers, long process) {
+    this.node = node;
+    this.peers = peers;
+    this.process = process;
+  }
+
+  /** Notes that the groups have named the other VMs. */
+  public void membersKnown() {
+    membersKnown = true;
+  }
+
+  private double share() {
+    return membersKnown ? peers.audibleShare() : UNKNOWN_SHARE;
+  }
+
+  /**
+   * Charges a request if the customer's rate allows it.
+   *
+   * @param customer the customer
+   * @param cost cost of the request
+   * @return whether it is allowed
+   */
+  public boolean tryTake(CustomerInfo customer, double cost) {
+    return quota(customer).tryTake(cost, share(), node.now());
+  }
+
+  /**
+   * Gives back the cost of a request that did not run.
+   *
+   * @param customer the customer
+   * @param cost cost of the request
+   */
+  public void giveBack(CustomerInfo customer, double cost) {
+    quota(customer).giveBack(cost);
+  }
+
+  /**
+   * Returns when a customer that is over its rate should come back.
+   *
+   * @param customer the customer
+   * @param cost cost of the request
+   * @return time in ms
+   */
+  public long waitMs(CustomerInfo customer, double cost) {
+    return quota(customer).waitMs(cost, share());
+  }
+
+  /**
+   * Counts a request for a model, for the next digest.
+   *
+   * @param model name of the model
+   */
+  public void modelUsed(String model) {
+    modelUses.merge(model, 1L, Long::sum);
+  }
+
+  /**
+   * Takes the limits of a new configuration.
+   *
+   * @param configuration the configuration
+   */
+  public void configured(FleetConfiguration configuration) {
+    long now = node.now();
+    for (CustomerInfo c : configuration.customers()) {
+      quota(c).limits(c.ratePerS(), c.burst(), now);
+    }
+  }
+
+  /**
+   * Takes a peer's digest.
+   *
+   * @param digest the digest
+   */
+  public void heard(PeerMessage.Digest digest) {
+    long now = node.now();
+    String peer = digest.address() + "/" + digest.process();
+    digest
+        .consumed()
+        .forEach(
+            (customer, total) -> {
+              FleetQuota q = byCustomer.get(customer);
+              if (q != null) {
+                q.peerConsumed(peer, total, now);
+              } else {
+                early.computeIfAbsent(customer, c -> new HashMap<>()).put(peer, total);
+              }
+            });
+    digest.models().forEach((model, uses) -> node.demand().add(model, uses, now));
+  }
+
+  /** Sends a digest to all peers. */
+  public void tell() {
+    Map<String, Double> consumed = new HashMap<>();
+    byCustomer.forEach((name, q) -> consumed.put(name, q.consumed()));
+    Map<String, Long> models = Map.copyOf(modelUses);
+    modelUses.clear();
+    long version = node.configuration().map(FleetConfiguration::version).orElse(0L);
+    for (String a : peers.addresses()) {
+      boolean deaf = !peers.audible(a);
+      String self = peers.network().self();
+      String domain = node.settings().domain();
+      peers
+          .network()
+          .send(
+              a,
+              new PeerMessage.Digest(process, self, domain, version, deaf, consumed, models));
+    }
+  }
+
+  private FleetQuota quota(CustomerInfo customer) {
+    return byCustomer.computeIfAbsent(
+        customer.name(),
+        n -> {
+          long now = node.now();
+          FleetQuota q = new FleetQuota(customer.ratePerS(), customer.burst(), now);
+          if (!node.settings().firstStart()) {
+            q.startWith(0);
+          }
+          early.getOrDefault(n, Map.of()).forEach((peer, total) -> q.peerConsumed(peer, total, now));
+          early.remove(n);
+          return q;
+        });
+  }
+}
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between the VMs. */
+package io.kumquatspindle.node.peer;
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/HttpCalls.java
@@ -0,0 +1,218 @@
+package io.kumquatspindle.node.relay;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Small calls with whole answers, each with a time limit. Used on the event loop only. */
+public final class HttpCalls {
+  /** Time to connect, in ms; a round trip within a site takes a few ms. */
+  private static final int CONNECT_MS = 400;
+
+  /** Largest answer, in bytes: a page of the store's newest records is at most 1 MB. */
+  private static final int MOST_ANSWER_BYTES = 8 * 1024 * 1024;
+
+  private final EventLoop loop;
+  private final Map<String, ArrayDeque<Channel>> idle = new HashMap<>();
+
+  /** Result of a call. */
+  public sealed interface Result {
+    /**
+     * A whole answer.
+     *
+     * @param status HTTP status
+     * @param body body of the answer
+     */
+    record Answered(int status, byte[] body) implements Result {}
+
+    /**
+     * No whole answer; the call may have taken effect.
+     *
+     * @param reason for the log
+     */
+    record Failed(String reason) implements Result {}
+  }
+
+  /**
+   * Creates the client.
+   *
+   * @param loop event loop of all its connections
+   */
+  public HttpCalls(EventLoop loop) {
+    this.loop = loop;
+  }
+
+  /**
+   * Calls a server.
+   *
+   * @param host IP address
+   * @param port port
+   * @param request the request; released by the call
+   * @param keep whether the connection may be used before and after by other calls
+   * @param timeoutMs time limit, in ms
+   * @param done gets the result, once
+   */
+  public void call(
+      String host,
+      int port,
+      FullHttpRequest request,
+      boolean keep,
+      long timeoutMs,
+      Consumer<Result> done) {
+    String address = host + ":" + port;
+    request.headers().set(HttpHeaderNames.HOST, address);
+    request.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+    if (!keep) {
+      request.headers().set(HttpHeaderNames.CONNECTION, "close");
+    }
+    Call call = new Call(address, keep, done);
+    call.limit =
+        loop.schedule(() -> call.fail("no answer in time"), timeoutMs, TimeUnit.MILLISECONDS);
+    Channel kept = keep ? takeIdle(address) : null;
+    if (kept != null) {
+      call.start(kept, request);
+      return;
+    }
+    ChannelFuture connecting =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .handler(new Setup())
+            .connect(host, port);
+    connecting.addListener(
+        f -> {
+          if (f.isSuccess() && !call.over) {
+            call.start(connecting.channel(), request);
+          } else {
+            request.release();
+            connecting.channel().close();
+            call.fail("cannot connect");
+          }
+        });
+  }
+
+  private Channel takeIdle(String address) {
+    ArrayDeque<Channel> channels = idle.get(address);
+    for (Channel c = poll(channels); c != null; c = poll(channels)) {
+      if (c.isActive()) {
+        return c;
+      }
+    }
+    return null;
+  }
+
+  private static Channel poll(ArrayDeque<Channel> channels) {
+    return channels == null ? null : channels.pollFirst();
+  }
+
+  private static final class Setup extends ChannelInitializer<Channel> {
+    @Override
+    protected void initChannel(Channel ch) {
+      ch.pipeline().addLast(new HttpClientCodec());
+      ch.pipeline().addLast(new HttpObjectAggregator(MOST_ANSWER_BYTES));
+      ch.pipeline().addLast("call", new Answers());
+    }
+  }
+
+  private static final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private Call call;
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+      if (call == null || answer.decoderResult().isFailure()) {
+        ctx.close();
+        return;
+      }
+      Call ended = call;
+      call = null;
+      ended.answered(ctx.channel(), answer);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      failCall("connection closed");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      failCall(String.valueOf(cause.getMessage()));
+      ctx.close();
+    }
+
+    private void failCall(String reason) {
+      if (call != null) {
+        Call ended = call;
+        call = null;
+        ended.fail(reason);
+      }
+    }
+  }
+
+  private final class Call {
+    private final String address;
+    private final boolean keep;
+    private final Consumer<Result> done;
+    private ScheduledFuture<?> limit;
+    private Channel channel;
+    private boolean over;
+
+    private Call(String address, boolean keep, Consumer<Result> done) {
+      this.address = address;
+      this.keep = keep;
+      this.done = done;
+    }
+
+    private void start(Channel c, FullHttpRequest request) {
+      channel = c;
+      ((Answers) c.pipeline().get("call")).call = this;
+      c.writeAndFlush(request);
+    }
+
+    private void answered(Channel c, FullHttpResponse answer) {
+      if (keep && HttpUtil.isKeepAlive(answer)) {
+        idle.computeIfAbsent(address, a -> new ArrayDeque<>()).addFirst(c);
+      } else {
+        c.close();
+      }
+      channel = null;
+      end(new Result.Answered(answer.status().code(), ByteBufUtil.getBytes(answer.content())));
+    }
+
+    private void fail(String reason) {
+      end(new Result.Failed(reason));
+    }
+
+    private void end(Result result) {
+      if (over) {
+        return;
+      }
+      over = true;
+      limit.cancel(false);
+      if (channel != null) {
+        channel.close();
+      }
+      done.accept(result);
+    }
+  }
+}
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/package-info.java
@@ -0,0 +1,2 @@
+/** Requests to endpoints and their answers. */
+package io.kumquatspindle.node.relay;
