Avoid evicting models in use and resynchronise stuck orders

Cause: confirming a load with a wrong order count was repeated for ever and blocked the endpoint (i-8777d9cfee from 14.95 s on); evictions waited for running requests.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderBook.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderBook.java
@@ -31,6 +31,9 @@
   /** Conflicts in a row after which the count of orders is read anew. */
   private static final int CONFLICTS_BEFORE_REPORT = 4;
 
+  /** Refused confirmations of one load after which the endpoint is asked for its state. */
+  private static final int CONFIRMS_BEFORE_REPORT = 3;
+
   /** Time after its use in which an adapter is not evicted: requests for it may be on their way. */
   private static final long ADAPTER_IN_USE_MS = 1_500;
 
@@ -163,6 +166,10 @@
       return Optional.of(new Step.Report());
     }
     if (loading.isPresent() && now >= confirmAtMs) {
+      if (conflicts >= CONFIRMS_BEFORE_REPORT) {
+        reporting = true;
+        return Optional.of(new Step.Report());
+      }
       return send(new ModelOrder(true, loading.get(), Optional.empty(), context.fence(), orders), now);
     }
     for (Want w : List.copyOf(wants.values())) {
@@ -186,6 +193,10 @@
       notBeforeMs = now + REPORT_LAG_MS;
       return;
     }
+    if (loading.isPresent() && report.get().busy()) {
+      confirmAtMs = now + REPORT_LAG_MS / 2;
+      return;
+    }
     orders = report.get().orders();
     synced = !report.get().busy();
     conflicts = 0;
@@ -244,7 +255,6 @@
     conflicts++;
     if (order.load() && loading.equals(Optional.of(order.model()))) {
       confirmAtMs = now + CONFLICT_PAUSE_MS;
-      conflicts = 0;
       return;
     }
     notBeforeMs = now + CONFLICT_PAUSE_MS;
@@ -326,7 +336,7 @@
     if (held < engine.adapterPlaces() && fits) {
       return Optional.of(order(true, w.model(), Optional.of(w.adapter()), context));
     }
-    return oldestAdapter(now)
+    return oldestAdapter(context, now)
         .map(a -> order(false, a.model(), Optional.of(a.adapter()), context));
   }
 
@@ -348,7 +358,9 @@
     double bestValue = context.value(w.model());
     for (Map.Entry<String, Resident> r : residents.entrySet()) {
       double value = context.keepValue(r.getKey());
-      if (now - r.getValue().usedMs >= MODEL_IN_USE_MS && value < bestValue) {
+      boolean idle =
+          now - r.getValue().usedMs >= MODEL_IN_USE_MS && !context.runs(r.getKey(), "");
+      if (idle && value < bestValue) {
         best = r.getKey();
         bestValue = value;
       }
@@ -356,11 +368,12 @@
     return Optional.ofNullable(best);
   }
 
-  private Optional<Want> oldestAdapter(long now) {
+  private Optional<Want> oldestAdapter(OrderContext context, long now) {
     Want best = null;
     for (Map.Entry<String, Resident> r : residents.entrySet()) {
       for (Map.Entry<String, Long> a : r.getValue().adapters.entrySet()) {
-        boolean idle = now - a.getValue() >= ADAPTER_IN_USE_MS;
+        boolean idle =
+            now - a.getValue() >= ADAPTER_IN_USE_MS && !context.runs(r.getKey(), a.getKey());
         if (idle && (best == null || a.getValue() < best.sinceMs())) {
           best = new Want(r.getKey(), a.getKey(), a.getValue());
         }
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderContext.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderContext.java
@@ -50,4 +50,13 @@
    * @return value: requests a second that need this copy, times the time to load it again
    */
   double keepValue(String model);
+
+  /**
+   * Tells whether requests are in progress at the endpoint.
+   *
+   * @param model name of the model
+   * @param adapter name of the adapter, or empty text for the model with all its adapters
+   * @return whether there are any, as far as the VMs that are heard tell
+   */
+  boolean runs(String model, String adapter);
 }
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Chooses where a model, or an adapter of it, shall be loaded. Answers rare models that are asked
@@ -83,6 +84,26 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Chooses the endpoint of a failure domain for one more copy of a model.
+   *
+   * @param service name of the service
+   * @param engine what its engines have in common
+   * @param model name of the model
+   * @param domain the failure domain
+   * @param now present time, in ms
+   * @return an endpoint that does not hold the model, or empty if there is none
+   */
+  public Optional<Endpoint> chooseCopy(
+      String service, EngineInfo engine, String model, String domain, long now) {
+    Set<String> others =
+        endpoints.of(service).stream()
+            .filter(e -> !e.entry().domain().equals(domain) || e.holds(model, "", now))
+            .map(Endpoint::id)
+            .collect(Collectors.toSet());
+    return choose(service, engine, model, "", domain, others, now);
+  }
+
   private double costMs(Endpoint e, EngineInfo engine, ModelInfo model, long now) {
     double ms = e.avoided(now) ? AVOIDED_MS : 0;
     if (e.holds(model.name(), "", now)) {
--- /dev/null
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/RunningBoard.java
@@ -0,0 +1,95 @@
+package io.kumquatspindle.engine.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Requests in progress at each endpoint, by model and adapter, over all VMs that are heard. Answers
+ * evictions that would wait for running requests while the endpoint takes no other order.
+ */
+public final class RunningBoard {
+  /** Age after which a peer's counts say nothing, in ms; ten digests. */
+  private static final long VALID_MS = 2_000;
+
+  private final Map<String, Integer> own = new HashMap<>();
+  private final Map<String, Told> peers = new HashMap<>();
+
+  private record Told(Map<String, Integer> counts, long atMs) {}
+
+  /**
+   * Counts a request of this VM that begins.
+   *
+   * @param endpoint identity of the endpoint
+   * @param model name of the model
+   * @param adapter name of the adapter, or empty text
+   */
+  public void begin(String endpoint, String model, String adapter) {
+    own.merge(key(endpoint, model, adapter), 1, Integer::sum);
+  }
+
+  /**
+   * Counts a request of this VM that has ended.
+   *
+   * @param endpoint identity of the endpoint
+   * @param model name of the model
+   * @param adapter name of the adapter, or empty text
+   */
+  public void end(String endpoint, String model, String adapter) {
+    own.computeIfPresent(key(endpoint, model, adapter), (k, n) -> n > 1 ? n - 1 : null);
+  }
+
+  /**
+   * Returns the counts of this VM, for its peers.
+   *
+   * @return counts by endpoint, model and adapter
+   */
+  public Map<String, Integer> own() {
+    return Map.copyOf(own);
+  }
+
+  /**
+   * Takes the counts of a peer in place of its earlier ones.
+   *
+   * @param peer identity of the peer
+   * @param counts counts by endpoint, model and adapter
+   * @param now present time, in ms
+   */
+  public void told(String peer, Map<String, Integer> counts, long now) {
+    peers.put(peer, new Told(counts, now));
+  }
+
+  /**
+   * Tells whether requests for a model are in progress at an endpoint.
+   *
+   * @param endpoint identity of the endpoint
+   * @param model name of the model
+   * @param now present time, in ms
+   * @return whether there are any, for the model itself or one of its adapters
+   */
+  public boolean runs(String endpoint, String model, long now) {
+    String start = endpoint + "|" + model + "/";
+    peers.values().removeIf(t -> now - t.atMs() > VALID_MS);
+    return own.keySet().stream().anyMatch(k -> k.startsWith(start))
+        || peers.values().stream()
+            .anyMatch(t -> t.counts().keySet().stream().anyMatch(k -> k.startsWith(start)));
+  }
+
+  /**
+   * Tells whether requests for an adapter are in progress at an endpoint.
+   *
+   * @param endpoint identity of the endpoint
+   * @param model name of the model
+   * @param adapter name of the adapter
+   * @param now present time, in ms
+   * @return whether there are any
+   */
+  public boolean runs(String endpoint, String model, String adapter, long now) {
+    String k = key(endpoint, model, adapter);
+    peers.values().removeIf(t -> now - t.atMs() > VALID_MS);
+    return own.containsKey(k) || peers.values().stream().anyMatch(t -> t.counts().containsKey(k));
+  }
+
+  private static String key(String endpoint, String model, String adapter) {
+    return endpoint + "|" + model + "/" + adapter;
+  }
+}
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
@@ -5,6 +5,7 @@
 import io.kumquatspindle.api.time.MonotonicClock;
 import io.kumquatspindle.engine.fleet.EndpointTable;
 import io.kumquatspindle.engine.fleet.ModelDemand;
+import io.kumquatspindle.engine.fleet.RunningBoard;
 import io.kumquatspindle.node.observe.EventLog;
 import io.netty.channel.EventLoop;
 import java.util.Optional;
@@ -18,6 +19,7 @@
   private final MetricRegistry metrics;
   private final EndpointTable endpoints = new EndpointTable();
   private final ModelDemand demand = new ModelDemand();
+  private final RunningBoard running = new RunningBoard();
   private Optional<FleetConfiguration> configuration = Optional.empty();
   private boolean stopping;
 
@@ -75,6 +77,10 @@
     return demand;
   }
 
+  public RunningBoard running() {
+    return running;
+  }
+
   public Optional<FleetConfiguration> configuration() {
     return configuration;
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -41,6 +41,9 @@
   /** Time between looks at orders and waiting requests, in ms. */
   private static final long TICK_MS = 20;
 
+  /** Time between looks at models whose demand grows, in ms. */
+  private static final long SPREAD_MS = 300;
+
   /** Time between looks at the group, in ms. */
   private static final long GROUP_TICK_MS = 100;
 
@@ -143,6 +146,7 @@
     every(GROUP_TICK_MS, this::groupTick);
     every(TICK_MS, this::tick);
     every(Peers.DIGEST_MS, quotas::tell);
+    every(SPREAD_MS, orders::spread);
   }
 
   private void every(long ms, Runnable task) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Attempt.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Attempt.java
@@ -53,6 +53,7 @@
 
   void begin() {
     endpoint.sent();
+    parts.node().running().begin(endpoint.id(), exchange.model(), exchange.adapter());
     EndpointEntry e = endpoint.entry();
     FullHttpRequest out =
         new DefaultFullHttpRequest(
@@ -89,6 +90,7 @@
     }
     over = true;
     endpoint.ended();
+    parts.node().running().end(endpoint.id(), exchange.model(), exchange.adapter());
     return true;
   }
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -4,6 +4,7 @@
 import io.kumquatspindle.api.fleet.EngineInfo;
 import io.kumquatspindle.api.fleet.ModelInfo;
 import io.kumquatspindle.api.fleet.OrderAnswer;
+import io.kumquatspindle.api.fleet.ServiceInfo;
 import io.kumquatspindle.engine.fleet.Endpoint;
 import io.kumquatspindle.engine.fleet.LoadBoard;
 import io.kumquatspindle.engine.fleet.OrderBook;
@@ -14,6 +15,7 @@
 import io.kumquatspindle.node.peer.Peers;
 import io.kumquatspindle.node.port.EngineCalls;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,6 +26,12 @@
   /** Age after which a want is forgotten unless it is told again, in ms. */
   private static final long WANT_VALID_MS = 3_000;
 
+  /** Requests a second from which a model should have a copy in each failure domain. */
+  private static final double HOT_PER_S = 3;
+
+  /** Requests a second that one copy serves well; an engine runs some tens at once. */
+  private static final double COPY_PER_S = 15;
+
   private final NodeContext node;
   private final Owners owners;
   private final Peers peers;
@@ -162,6 +170,32 @@
     }
   }
 
+  /** Called now and then: wants copies of models whose demand outgrows those that there are. */
+  public void spread() {
+    long now = node.now();
+    String domain = node.settings().domain();
+    for (ServiceInfo s : node.configuration().map(c -> c.services()).orElse(List.of())) {
+      if (s.engine().isEmpty()) {
+        continue;
+      }
+      Set<String> here = new HashSet<>();
+      node.endpoints().of(s.name()).stream()
+          .filter(e -> e.entry().domain().equals(domain))
+          .forEach(e -> here.addAll(e.models(now)));
+      for (String model : s.engine().get().models().keySet()) {
+        double rate = node.demand().rate(model, now);
+        int copies = chooser.copies(s.name(), model, now);
+        boolean more = rate >= HOT_PER_S && (!here.contains(model) || rate / copies > COPY_PER_S);
+        if (more && copies > 0) {
+          chooser
+              .chooseCopy(s.name(), s.engine().get(), model, domain, now)
+              .filter(e -> owners.holds(e.id(), domain))
+              .ifPresent(e -> onWant(e.id(), model, ""));
+        }
+      }
+    }
+  }
+
   private boolean forgotten(String id) {
     Optional<Endpoint> e = node.endpoints().find(id);
     return e.isEmpty() || !owners.holds(id, e.get().entry().domain());
@@ -313,5 +347,12 @@
     public double keepValue(String model) {
       return chooser.keepValue(endpoint.entry().service(), model, node.now());
     }
+
+    @Override
+    public boolean runs(String model, String adapter) {
+      return adapter.isEmpty()
+          ? node.running().runs(endpoint.id(), model, node.now())
+          : node.running().runs(endpoint.id(), model, adapter, node.now());
+    }
   }
 }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerCodec.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerCodec.java
@@ -27,6 +27,10 @@
         for (Map.Entry<String, Long> e : d.models().entrySet()) {
           p.packString(e.getKey()).packLong(e.getValue());
         }
+        p.packMapHeader(d.running().size());
+        for (Map.Entry<String, Integer> e : d.running().entrySet()) {
+          p.packString(e.getKey()).packInt(e.getValue());
+        }
       } else if (message instanceof PeerMessage.Want w) {
         p.packInt(WANT).packString(w.endpoint()).packString(w.model()).packString(w.adapter());
       } else if (message instanceof PeerMessage.Changed c) {
@@ -63,7 +67,12 @@
     for (int n = u.unpackMapHeader(); n > 0; n--) {
       models.put(u.unpackString(), u.unpackLong());
     }
-    return new PeerMessage.Digest(process, address, domain, configuration, deaf, consumed, models);
+    Map<String, Integer> running = new HashMap<>();
+    for (int n = u.unpackMapHeader(); n > 0; n--) {
+      running.put(u.unpackString(), u.unpackInt());
+    }
+    return new PeerMessage.Digest(
+        process, address, domain, configuration, deaf, consumed, models, running);
   }
 
   private static PeerMessage changed(MessageUnpacker u) throws IOException {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerMessage.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerMessage.java
@@ -15,6 +15,7 @@
    * @param deaf whether the sender has not heard the receiver lately
    * @param consumed consumption of customers by the sender since its start
    * @param models requests for models that the sender has read since its last digest
+   * @param running requests of the sender in progress, by endpoint, model and adapter
    */
   record Digest(
       long process,
@@ -23,7 +24,8 @@
       long configuration,
       boolean deaf,
       Map<String, Double> consumed,
-      Map<String, Long> models)
+      Map<String, Long> models,
+      Map<String, Integer> running)
       implements PeerMessage {}
 
   /**
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
@@ -114,6 +114,7 @@
                 early.computeIfAbsent(customer, c -> new HashMap<>()).put(peer, total);
               }
             });
+    node.running().told(peer, digest.running(), now);
     digest.models().forEach((model, uses) -> node.demand().add(model, uses, now));
   }
 
@@ -132,7 +133,8 @@
           .network()
           .send(
               a,
-              new PeerMessage.Digest(process, self, domain, version, deaf, consumed, models));
+              new PeerMessage.Digest(
+                  process, self, domain, version, deaf, consumed, models, node.running().own()));
     }
   }
 
