--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/FleetQuota.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/FleetQuota.java
@@ -116,6 +116,15 @@
     }
   }
 
+  /**
+   * Returns what is left in the bucket.
+   *
+   * @return level; negative if there is a debt
+   */
+  public double level() {
+    return level;
+  }
+
   /**
    * Returns what this VM has consumed since its start.
    *
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/LoadBoard.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/LoadBoard.java
@@ -10,6 +10,7 @@
   private static final long OVERDUE_MS = 4_000;
 
   private final Map<String, Load> byEndpoint = new HashMap<>();
+  private final Map<String, Long> endedMs = new HashMap<>();
 
   /**
    * A load in progress.
@@ -34,9 +35,23 @@
    * Notes that a load has ended.
    *
    * @param endpoint identity of the endpoint
+   * @param now present time, in ms
    */
-  public void end(String endpoint) {
+  public void end(String endpoint, long now) {
     byEndpoint.remove(endpoint);
+    endedMs.put(endpoint, now);
+  }
+
+  /**
+   * Returns how long ago the last load ended.
+   *
+   * @param endpoint identity of the endpoint
+   * @param now present time, in ms
+   * @return age in ms; {@link Long#MAX_VALUE} if none is known
+   */
+  public long sinceLoadMs(String endpoint, long now) {
+    Long at = endedMs.get(endpoint);
+    return at == null ? Long.MAX_VALUE : now - at;
   }
 
   /**
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderBook.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderBook.java
@@ -31,6 +31,9 @@
   /** Conflicts in a row after which the count of orders is read anew. */
   private static final int CONFLICTS_BEFORE_REPORT = 4;
 
+  /** Time that an eviction of an idle model takes, in ms. */
+  private static final long EVICTION_MS = 20;
+
   /** Refused confirmations of one load after which the endpoint is asked for its state. */
   private static final int CONFIRMS_BEFORE_REPORT = 3;
 
@@ -38,7 +41,7 @@
   private static final long ADAPTER_IN_USE_MS = 1_500;
 
   /** Time after its load in which a model is not evicted, so that who waited is served. */
-  private static final long MODEL_IN_USE_MS = 1_200;
+  private static final long MODEL_IN_USE_MS = 500;
 
   private final Map<String, Resident> residents = new HashMap<>();
   private final Map<String, Want> wants = new LinkedHashMap<>();
@@ -172,6 +175,10 @@
       }
       return send(new ModelOrder(true, loading.get(), Optional.empty(), context.fence(), orders), now);
     }
+    if (loading.isPresent()) {
+      // The engine refuses all orders, also those for adapters, while it loads a model.
+      return Optional.empty();
+    }
     for (Want w : List.copyOf(wants.values())) {
       Optional<ModelOrder> order = orderFor(w, context, now);
       if (order.isPresent()) {
@@ -195,6 +202,7 @@
     }
     if (loading.isPresent() && report.get().busy()) {
       confirmAtMs = now + REPORT_LAG_MS / 2;
+      notBeforeMs = confirmAtMs;
       return;
     }
     orders = report.get().orders();
@@ -273,6 +281,7 @@
       return List.of(new Change(order.model(), "", Change.Kind.LOADING));
     }
     residents.remove(order.model());
+    notBeforeMs = now + EVICTION_MS;
     return List.of(new Change(order.model(), "", Change.Kind.EVICTED));
   }
 
@@ -325,7 +334,7 @@
       }
       return adapterOrder(w, context, now);
     }
-    return loading.isPresent() ? Optional.empty() : modelOrder(w, context, now);
+    return modelOrder(w, context, now);
   }
 
   private Optional<ModelOrder> adapterOrder(Want w, OrderContext context, long now) {
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
@@ -24,6 +24,9 @@
   /** What an endpoint that is avoided adds, in ms. */
   private static final double AVOIDED_MS = 30_000;
 
+  /** Time for which a model that was just loaded is in use and keeps its place, in ms. */
+  private static final long JUST_LOADED_MS = 1_000;
+
   private final EndpointTable endpoints;
   private final ModelDemand demand;
   private final LoadBoard loads;
@@ -116,6 +119,7 @@
       }
       ms += Math.max(0, running.get().untilMs() - now) + model.diskMs();
     }
+    ms += Math.max(0, JUST_LOADED_MS - loads.sinceLoadMs(e.id(), now));
     return ms + loadMs(e.entry(), model) + evictionMs(e, engine, model, now);
   }
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -36,7 +36,7 @@
   private static final long CONFIGURATION_WAIT_MS = 2_500;
 
   /** Pause between reads of the endpoints, in ms; well inside the time to leave one alone. */
-  private static final long ENDPOINTS_PAUSE_MS = 600;
+  private static final long ENDPOINTS_PAUSE_MS = 900;
 
   /** Time between looks at orders and waiting requests, in ms. */
   private static final long TICK_MS = 20;
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -125,7 +125,10 @@
       return true;
     }
     long wait = parts.quotas().waitMs(customer.get(), cost);
-    fail(ErrorKind.OVER_RATE, wait, "cost " + (long) cost);
+    fail(
+        ErrorKind.OVER_RATE,
+        wait,
+        customer.get().name() + " cost " + (long) cost + " " + parts.quotas().describe(customer.get()));
     return false;
   }
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -286,7 +286,7 @@
       case LOADING -> loads.begin(e.id(), new LoadBoard.Load(model, fromStore, now + forMs));
       case LOADED -> {
         if (adapter.isEmpty()) {
-          loads.end(e.id());
+          loads.end(e.id(), now);
         }
         e.news(model, adapter, true, now);
         changed.run();
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
@@ -74,6 +74,23 @@
     return quota(customer).waitMs(cost, share());
   }
 
+  /**
+   * Describes what is left of a customer's rate, for the log.
+   *
+   * @param customer the customer
+   * @return level, rate, burst and the share of the VMs that are heard
+   */
+  public String describe(CustomerInfo customer) {
+    return "level "
+        + (long) quota(customer).level()
+        + " rate "
+        + (long) customer.ratePerS()
+        + " burst "
+        + (long) customer.burst()
+        + " share "
+        + share();
+  }
+
   /**
    * Counts a request for a model, for the next digest.
    *
