--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
@@ -54,7 +54,9 @@
    * @param now present time, in ms
    */
   public void retain(Set<String> ids, long now) {
-    List.copyOf(byId.keySet()).stream().filter(id -> !ids.contains(id)).forEach(i -> remove(i, now));
+    List.copyOf(byId.keySet()).stream()
+        .filter(id -> !ids.contains(id))
+        .forEach(i -> remove(i, now));
   }
 
   /**
@@ -74,11 +76,12 @@
    */
   public List<String> expire(long now) {
     List<String> gone = new ArrayList<>();
-    lapsed.forEach((id, until) -> {
-      if (now >= until) {
-        gone.add(id);
-      }
-    });
+    lapsed.forEach(
+        (id, until) -> {
+          if (now >= until) {
+            gone.add(id);
+          }
+        });
     gone.forEach(lapsed::remove);
     gone.forEach(byId::remove);
     return gone;
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderBook.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderBook.java
@@ -2,18 +2,13 @@
 
 import io.kumquatspindle.api.fleet.EngineInfo;
 import io.kumquatspindle.api.fleet.EngineReport;
-import io.kumquatspindle.api.fleet.HeldModel;
 import io.kumquatspindle.api.fleet.ModelInfo;
 import io.kumquatspindle.api.fleet.ModelOrder;
 import io.kumquatspindle.api.fleet.OrderAnswer;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * Orders of one endpoint, as its only holder gives them: one at a time, each guarded by the count
@@ -37,15 +32,8 @@
   /** Refused confirmations of one load after which the endpoint is asked for its state. */
   private static final int CONFIRMS_BEFORE_REPORT = 3;
 
-  /** Time after its use in which an adapter is not evicted: requests for it may be on their way. */
-  private static final long ADAPTER_IN_USE_MS = 1_500;
-
-  /** Time after its load in which a model is not evicted, so that who waited is served. */
-  private static final long MODEL_IN_USE_MS = 500;
-
-  private final Map<String, Resident> residents = new HashMap<>();
+  private final Residents residents = new Residents();
   private final Map<String, Want> wants = new LinkedHashMap<>();
-  private final Set<String> heldBefore = new HashSet<>();
   private Optional<ModelOrder> unanswered = Optional.empty();
   private Optional<String> loading = Optional.empty();
   private boolean reporting;
@@ -71,15 +59,6 @@
 
   private record Want(String model, String adapter, long sinceMs) {}
 
-  private static final class Resident {
-    private final Map<String, Long> adapters = new HashMap<>();
-    private long usedMs;
-
-    private Resident(long usedMs) {
-      this.usedMs = usedMs;
-    }
-  }
-
   /**
    * Notes that a model, or an adapter of it, is wanted at this endpoint.
    *
@@ -113,8 +92,7 @@
    * @return whether it does
    */
   public boolean holds(String model, String adapter) {
-    Resident r = residents.get(model);
-    return r != null && (adapter.isEmpty() || r.adapters.containsKey(adapter));
+    return residents.holds(model, adapter);
   }
 
   /**
@@ -125,11 +103,7 @@
    * @param now present time, in ms
    */
   public void used(String model, String adapter, long now) {
-    Resident r = residents.get(model);
-    if (r != null) {
-      r.usedMs = now;
-      r.adapters.computeIfPresent(adapter, (a, t) -> now);
-    }
+    residents.used(model, adapter, now);
   }
 
   /**
@@ -139,7 +113,7 @@
    * @return whether it has
    */
   public boolean heldBefore(String model) {
-    return heldBefore.contains(model);
+    return residents.heldBefore(model);
   }
 
   public Optional<String> loading() {
@@ -173,7 +147,8 @@
         reporting = true;
         return Optional.of(new Step.Report());
       }
-      return send(new ModelOrder(true, loading.get(), Optional.empty(), context.fence(), orders), now);
+      return send(
+          new ModelOrder(true, loading.get(), Optional.empty(), context.fence(), orders), now);
     }
     if (loading.isPresent()) {
       // The engine refuses all orders, also those for adapters, while it loads a model.
@@ -212,15 +187,7 @@
     if (!synced) {
       notBeforeMs = now + REPORT_LAG_MS / 2;
     }
-    Set<String> names = new HashSet<>();
-    for (HeldModel m : report.get().models()) {
-      names.add(m.name());
-      Resident r = residents.computeIfAbsent(m.name(), n -> new Resident(now));
-      r.adapters.keySet().retainAll(m.adapters());
-      m.adapters().forEach(a -> r.adapters.putIfAbsent(a, now));
-    }
-    residents.keySet().retainAll(names);
-    heldBefore.addAll(names);
+    residents.replace(report.get().models(), now);
   }
 
   /**
@@ -295,24 +262,19 @@
       return List.of(new Change(order.model(), "", Change.Kind.EVICTED));
     }
     loading = Optional.empty();
-    heldBefore.add(order.model());
-    residents.computeIfAbsent(order.model(), m -> new Resident(now)).usedMs = now;
+    residents.add(order.model(), now);
     wants.remove(order.model() + "/");
     return List.of(new Change(order.model(), "", Change.Kind.LOADED));
   }
 
   private List<Change> adapterChanged(ModelOrder order, long now) {
     String adapter = order.adapter().orElseThrow();
-    Resident r = residents.get(order.model());
-    if (r == null) {
-      return List.of();
-    }
     if (order.load()) {
-      r.adapters.put(adapter, now);
+      residents.addAdapter(order.model(), adapter, now);
       wants.remove(order.model() + "/" + adapter);
       return List.of(new Change(order.model(), adapter, Change.Kind.LOADED));
     }
-    r.adapters.remove(adapter);
+    residents.removeAdapter(order.model(), adapter);
     return List.of(new Change(order.model(), adapter, Change.Kind.EVICTED));
   }
 
@@ -339,13 +301,13 @@
 
   private Optional<ModelOrder> adapterOrder(Want w, OrderContext context, long now) {
     EngineInfo engine = context.engine();
-    int held = residents.values().stream().mapToInt(r -> r.adapters.size()).sum();
     ModelInfo model = engine.models().get(w.model());
     boolean fits = model != null && usedMb(engine) + model.adapterMb() <= engine.weightsMb();
-    if (held < engine.adapterPlaces() && fits) {
+    if (residents.adapters() < engine.adapterPlaces() && fits) {
       return Optional.of(order(true, w.model(), Optional.of(w.adapter()), context));
     }
-    return oldestAdapter(context, now)
+    return residents
+        .oldestAdapter(context, now)
         .map(a -> order(false, a.model(), Optional.of(a.adapter()), context));
   }
 
@@ -358,49 +320,14 @@
     if (usedMb(engine) + model.weightsMb() <= engine.weightsMb()) {
       return Optional.of(order(true, w.model(), Optional.empty(), context));
     }
-    return victim(w, context, now).map(m -> order(false, m, Optional.empty(), context));
-  }
-
-  /** Picks the resident whose loss costs callers least. */
-  private Optional<String> victim(Want w, OrderContext context, long now) {
-    String best = null;
-    double bestValue = context.value(w.model());
-    for (Map.Entry<String, Resident> r : residents.entrySet()) {
-      double value = context.keepValue(r.getKey());
-      boolean idle =
-          now - r.getValue().usedMs >= MODEL_IN_USE_MS && !context.runs(r.getKey(), "");
-      if (idle && value < bestValue) {
-        best = r.getKey();
-        bestValue = value;
-      }
-    }
-    return Optional.ofNullable(best);
-  }
-
-  private Optional<Want> oldestAdapter(OrderContext context, long now) {
-    Want best = null;
-    for (Map.Entry<String, Resident> r : residents.entrySet()) {
-      for (Map.Entry<String, Long> a : r.getValue().adapters.entrySet()) {
-        boolean idle =
-            now - a.getValue() >= ADAPTER_IN_USE_MS && !context.runs(r.getKey(), a.getKey());
-        if (idle && (best == null || a.getValue() < best.sinceMs())) {
-          best = new Want(r.getKey(), a.getKey(), a.getValue());
-        }
-      }
-    }
-    return Optional.ofNullable(best);
+    return residents
+        .victim(context, context.value(w.model()), now)
+        .map(m -> order(false, m, Optional.empty(), context));
   }
 
   private double usedMb(EngineInfo engine) {
-    double mb = 0;
-    for (Map.Entry<String, Resident> r : residents.entrySet()) {
-      ModelInfo m = engine.models().get(r.getKey());
-      // A model that the configuration no longer names still takes room; its size is not known.
-      mb += m == null ? engine.weightsMb() : m.weightsMb();
-      mb += m == null ? 0 : m.adapterMb() * r.getValue().adapters.size();
-    }
     ModelInfo coming = loading.map(engine.models()::get).orElse(null);
-    return mb + (coming == null ? 0 : coming.weightsMb());
+    return residents.usedMb(engine) + (coming == null ? 0 : coming.weightsMb());
   }
 
   private ModelOrder order(
@@ -408,15 +335,6 @@
     return new ModelOrder(load, model, adapter, context.fence(), orders);
   }
 
-  /**
-   * Returns the models that the endpoint holds, as far as orders and reports tell.
-   *
-   * @return names of models
-   */
-  public List<String> residents() {
-    return new ArrayList<>(residents.keySet());
-  }
-
   /**
    * A change of what the endpoint holds.
    *
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
@@ -1,7 +1,7 @@
 package io.kumquatspindle.engine.fleet;
 
-import io.kumquatspindle.api.fleet.EngineInfo;
 import io.kumquatspindle.api.fleet.EndpointEntry;
+import io.kumquatspindle.api.fleet.EngineInfo;
 import io.kumquatspindle.api.fleet.ModelInfo;
 import java.util.Collection;
 import java.util.Optional;
@@ -27,6 +27,9 @@
   /** Time for which a model that was just loaded is in use and keeps its place, in ms. */
   private static final long JUST_LOADED_MS = 1_000;
 
+  /** What each further copy adds to the value of one, in requests a second. */
+  private static final double COPY_VALUE = 0.01;
+
   private final EndpointTable endpoints;
   private final ModelDemand demand;
   private final LoadBoard loads;
@@ -69,7 +72,8 @@
       return Optional.empty();
     }
     Collection<Endpoint> all = endpoints.of(service);
-    boolean held = all.stream().anyMatch(e -> e.holds(model, "", now) && !excluded.contains(e.id()));
+    boolean held =
+        all.stream().anyMatch(e -> e.holds(model, "", now) && !excluded.contains(e.id()));
     Endpoint best = null;
     double bestMs = 0;
     for (Endpoint e : all) {
@@ -157,7 +161,9 @@
    * @return value
    */
   public double keepValue(String service, String model, long now) {
-    return demand.rate(model, now) / Math.max(1, copies(service, model, now));
+    int copies = Math.max(1, copies(service, model, now));
+    // Before there is any demand, several copies are the only sign of a model that will be wanted.
+    return demand.rate(model, now) / copies + COPY_VALUE * (copies - 1);
   }
 
   /**
@@ -169,7 +175,6 @@
    * @return endpoints that take work and hold it
    */
   public int copies(String service, String model, long now) {
-    return (int)
-        endpoints.of(service).stream().filter(e -> e.holds(model, "", now)).count();
+    return (int) endpoints.of(service).stream().filter(e -> e.holds(model, "", now)).count();
   }
 }
--- /dev/null
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/Entries.java
@@ -0,0 +1,50 @@
+package io.kumquatspindle.engine.fleet;
+
+import io.kumquatspindle.api.fleet.EndpointEntry;
+import io.kumquatspindle.api.fleet.EngineInfo;
+import io.kumquatspindle.api.fleet.HeldModel;
+import io.kumquatspindle.api.fleet.ModelInfo;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/** Endpoints and engines for tests. */
+final class Entries {
+  static final String SERVICE = "drafting";
+
+  private Entries() {}
+
+  static EndpointEntry engine(String id, String domain, String... models) {
+    return engine(id, domain, 0, Set.of(), models);
+  }
+
+  static EndpointEntry engine(
+      String id, String domain, long born, Set<String> onDisk, String... models) {
+    List<HeldModel> held = Arrays.stream(models).map(m -> new HeldModel(m, Set.of())).toList();
+    return new EndpointEntry(
+        id,
+        SERVICE,
+        "10.0.0.1",
+        8080,
+        domain,
+        100,
+        false,
+        OptionalLong.empty(),
+        born,
+        held,
+        Set.of(),
+        onDisk);
+  }
+
+  /** An engine with room for two models and two adapters. */
+  static EngineInfo info(String... models) {
+    Map<String, ModelInfo> infos = new HashMap<>();
+    for (String m : models) {
+      infos.put(m, new ModelInfo(m, 40, 6_000, 1_000, 500, 1));
+    }
+    return new EngineInfo(100, 100_000, 90, 2, 7.5, infos);
+  }
+}
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -100,8 +100,7 @@
     quotas = new QuotaController(node, peers, new SecureRandom().nextLong());
     RecordStore store = adapter.store().apply(node);
     owners = new Owners(node, store, peers, quotas, network.self());
-    orders =
-        new OrderController(node, owners, peers, network, adapter.engines().apply(node));
+    orders = new OrderController(node, owners, peers, network, adapter.engines().apply(node));
     waits = new WaitRoom(node, orders);
     orders.onChange(waits::tick);
     state = new FleetState(node, adapter.decoder(), quotas::configured);
@@ -132,9 +131,7 @@
     PageServer.start(node, s.readyPort(), this::readiness);
     if (s.metricsPort() != 0) {
       PageServer.start(
-          node,
-          s.metricsPort(),
-          () -> new PageServer.Page(200, MetricsText.of(node.metrics())));
+          node, s.metricsPort(), () -> new PageServer.Page(200, MetricsText.of(node.metrics())));
     }
     node.loop().execute(this::run);
   }
@@ -147,6 +144,7 @@
     every(TICK_MS, this::tick);
     every(Peers.DIGEST_MS, quotas::tell);
     every(SPREAD_MS, orders::spread);
+    every(SPREAD_MS, orders::prefetch);
   }
 
   private void every(long ms, Runnable task) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Attempt.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Attempt.java
@@ -115,7 +115,8 @@
       return;
     }
     boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
-    if (success && (!says.sealed() || response.headers().contains(HttpHeaderNames.CONTENT_ENCODING))) {
+    if (success
+        && (!says.sealed() || response.headers().contains(HttpHeaderNames.CONTENT_ENCODING))) {
       broken("success without proof of origin");
       return;
     }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -2,9 +2,8 @@
 
 import io.kumquatspindle.api.error.ErrorKind;
 import io.kumquatspindle.api.fleet.CallHead;
-import io.kumquatspindle.api.fleet.CustomerInfo;
-import io.kumquatspindle.api.fleet.FleetConfiguration;
 import io.kumquatspindle.api.fleet.RouteSpec;
+import io.kumquatspindle.api.model.Ran;
 import io.kumquatspindle.engine.fleet.Endpoint;
 import io.kumquatspindle.node.observe.EventLog;
 import io.kumquatspindle.node.order.Waiter;
@@ -34,14 +33,12 @@
   private final FrontParts parts;
   private final FullHttpRequest request;
   private final Answerer answer;
+  private final Admission admission;
   private final long arrivedMs;
   private final Set<String> tried = new HashSet<>();
   private CallHead head;
-  private RouteSpec route;
-  private Optional<CustomerInfo> customer = Optional.empty();
   private String service = "";
   private long deadlineMs;
-  private double charged;
   private int unreachable;
   private int sends;
   private int runs;
@@ -55,6 +52,7 @@
     this.request = request;
     this.arrivedMs = parts.node().now();
     this.answer = new Answerer(parts, caller);
+    this.admission = new Admission(parts);
   }
 
   /** Begins; may answer at once. */
@@ -65,16 +63,17 @@
       fail(ErrorKind.MALFORMED_REQUEST, 0, String.valueOf(e.getMessage()));
       return;
     }
-    Optional<ErrorKind> denied = authorize();
+    Optional<ErrorKind> denied = admission.check(head, path());
     if (denied.isPresent()) {
-      fail(denied.get(), retryMs(), "");
+      fail(denied.get(), DEFAULT_RETRY_MS, "");
       return;
     }
-    deadlineMs = arrivedMs + Math.min(head.deadlineMs(), route.timeoutMs());
-    if (!charge()) {
+    deadlineMs = arrivedMs + Math.min(head.deadlineMs(), route().timeoutMs());
+    if (!admission.charge(head)) {
+      fail(ErrorKind.OVER_RATE, admission.waitMs(head), admission.describe(head));
       return;
     }
-    service = route.pick(parts.random().nextDouble());
+    service = route().pick(parts.random().nextDouble());
     parts.budgets().request(service);
     if (!head.model().isEmpty()) {
       parts.node().demand().add(head.model(), 1, arrivedMs);
@@ -85,64 +84,26 @@
     dispatch();
   }
 
-  private long retryMs() {
-    return DEFAULT_RETRY_MS;
-  }
-
   /** Time after which a caller may come back when nothing better is known, in ms. */
   private static final long DEFAULT_RETRY_MS = 400;
 
-  private Optional<ErrorKind> authorize() {
-    Optional<FleetConfiguration> configuration = parts.node().configuration();
-    if (configuration.isEmpty()) {
-      return Optional.of(ErrorKind.STALE_CONFIGURATION);
-    }
-    Optional<RouteSpec> found = configuration.get().route(head.host(), path());
-    if (found.isEmpty()) {
-      return Optional.of(ErrorKind.UNKNOWN_ROUTE);
-    }
-    route = found.get();
-    customer = head.key().flatMap(configuration.get()::customerOfKey);
-    if (customer.isEmpty() && configuration.get().needsKeys() && !route.open()) {
-      return Optional.of(head.key().isEmpty() ? ErrorKind.MISSING_KEY : ErrorKind.UNKNOWN_KEY);
-    }
-    return Optional.empty();
-  }
-
   private String path() {
     String uri = request.uri();
     int query = uri.indexOf('?');
     return query < 0 ? uri : uri.substring(0, query);
   }
 
-  private boolean charge() {
-    if (customer.isEmpty()) {
-      return true;
-    }
-    double cost = customer.get().cost(head.tokens());
-    if (parts.quotas().tryTake(customer.get(), cost)) {
-      charged = cost;
-      return true;
-    }
-    long wait = parts.quotas().waitMs(customer.get(), cost);
-    fail(
-        ErrorKind.OVER_RATE,
-        wait,
-        customer.get().name() + " cost " + (long) cost + " " + parts.quotas().describe(customer.get()));
-    return false;
-  }
-
   private void dispatch() {
     if (over) {
       return;
     }
-    Optional<ErrorKind> denied = authorize();
+    Optional<ErrorKind> denied = admission.check(head, path());
     if (denied.isPresent()) {
       fail(denied.get(), DEFAULT_RETRY_MS, "changed while it waited");
       return;
     }
-    if (route.targets().stream().noneMatch(t -> t.service().equals(service))) {
-      service = route.pick(parts.random().nextDouble());
+    if (route().targets().stream().noneMatch(t -> t.service().equals(service))) {
+      service = route().pick(parts.random().nextDouble());
     }
     long now = parts.node().now();
     if (deadlineMs - now < REFUSE_BEFORE_MS) {
@@ -150,8 +111,7 @@
       return;
     }
     List<Endpoint> candidates = candidates(now);
-    Optional<Endpoint> chosen =
-        parts.selector().choose(candidates, tried, head.session(), now);
+    Optional<Endpoint> chosen = parts.selector().choose(candidates, tried, head.session(), now);
     if (chosen.isPresent()) {
       send(chosen.get(), now);
     } else if (needsModel()) {
@@ -178,15 +138,14 @@
   private void send(Endpoint endpoint, long now) {
     sends++;
     tried.add(endpoint.id());
-    int rank = customer.flatMap(c -> opt(c.rank())).orElse(route.rank());
     Optional<String> resume =
         answer.resumeAfter().isPresent() ? answer.resumeAfter() : head.resumeAfter();
     HeaderCodec.Forward forward =
         new HeaderCodec.Forward(
             endpoint.id(),
             Math.max(1, deadlineMs - now),
-            customer.map(CustomerInfo::name),
-            rank,
+            admission.customerName(),
+            admission.rank(),
             resume);
     if (!head.model().isEmpty()) {
       parts.waits().used(endpoint, head.model(), head.adapter());
@@ -201,10 +160,6 @@
     attempt.get().begin();
   }
 
-  private static Optional<Integer> opt(java.util.OptionalInt i) {
-    return i.isPresent() ? Optional.of(i.getAsInt()) : Optional.empty();
-  }
-
   /** The endpoint did not accept the connection: the request has not been sent. */
   void onUnreachable(Endpoint endpoint) {
     attempt = Optional.empty();
@@ -253,8 +208,8 @@
     runs++;
     endpoint.outcome(true, parts.node().now());
     line("broken").field("endpoint", endpoint.id()).field("reason", reason).write();
-    boolean mayRepeat = route.repeatable() || route.resumable();
-    if (mayRepeat && runs < route.attempts() && parts.budgets().tryRepeat(service)) {
+    boolean mayRepeat = route().repeatable() || route().resumable();
+    if (mayRepeat && runs < route().attempts() && parts.budgets().tryRepeat(service)) {
       parts.metrics().secondSend("broken");
       answer.prepareResume();
       dispatch();
@@ -265,11 +220,10 @@
 
   /** Tells whether a failure that the endpoint answered may be tried elsewhere. */
   boolean tryElsewhere(Endpoint endpoint) {
-    if (!route.repeatable() || runs + 1 >= route.attempts()) {
+    if (!route().repeatable() || runs + 1 >= route().attempts()) {
       return false;
     }
-    boolean others =
-        candidates(parts.node().now()).stream().anyMatch(e -> !tried.contains(e.id()));
+    boolean others = candidates(parts.node().now()).stream().anyMatch(e -> !tried.contains(e.id()));
     if (!others || !parts.budgets().tryRepeat(service)) {
       return false;
     }
@@ -294,7 +248,7 @@
     attempt = Optional.empty();
     long now = parts.node().now();
     long first = answer.firstByteMs() - arrivedMs;
-    parts.metrics().served(route.name(), status, first, now - arrivedMs);
+    parts.metrics().served(route().name(), status, first, now - arrivedMs);
     line("served")
         .field("endpoint", endpoint.id())
         .field("status", status)
@@ -319,7 +273,7 @@
 
   private void breakOff(String reason) {
     line("broken_off").field("reason", reason).write();
-    parts.metrics().failed(route.name(), ErrorKind.ANSWER_INCOMPLETE);
+    parts.metrics().failed(route().name(), ErrorKind.ANSWER_INCOMPLETE);
     cancelAttempt();
     end();
     answer.breakOff();
@@ -333,10 +287,10 @@
         .field("detail", detail)
         .field("configuration", parts.node().configuration().map(c -> c.version()).orElse(0L))
         .write();
-    parts.metrics().failed(route == null ? "" : route.name(), kind);
+    parts.metrics().failed(route() == null ? "" : route().name(), kind);
     cancelAttempt();
-    if (charged > 0 && kind.ran() == io.kumquatspindle.api.model.Ran.NOT_RUN) {
-      parts.quotas().giveBack(customer.orElseThrow(), charged);
+    if (kind.ran() == Ran.NOT_RUN) {
+      admission.giveBack();
     }
     end();
     answer.refuse(kind, retryAfterMs, head == null ? "" : head.id());
@@ -376,12 +330,12 @@
         .log()
         .line(kind)
         .field("id", head == null ? "" : head.id())
-        .field("route", route == null ? "" : route.name())
+        .field("route", route() == null ? "" : route().name())
         .field("age_ms", parts.node().now() - arrivedMs);
   }
 
   RouteSpec route() {
-    return route;
+    return admission.route();
   }
 
   String id() {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontMetrics.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontMetrics.java
@@ -14,7 +14,9 @@
   }
 
   void served(String route, int status, long firstByteMs, long totalMs) {
-    registry.counter(MetricsText.name("requests_total", "route", route, "status", "" + status)).inc();
+    registry
+        .counter(MetricsText.name("requests_total", "route", route, "status", "" + status))
+        .inc();
     registry
         .timer(MetricsText.name("first_byte_seconds", "route", route))
         .update(firstByteMs, TimeUnit.MILLISECONDS);
@@ -24,9 +26,7 @@
   }
 
   void failed(String route, ErrorKind kind) {
-    registry
-        .counter(MetricsText.name("failed_total", "route", route, "kind", kind.code()))
-        .inc();
+    registry.counter(MetricsText.name("failed_total", "route", route, "kind", kind.code())).inc();
   }
 
   void secondSend(String why) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/SecondSends.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/SecondSends.java
@@ -29,7 +29,6 @@
   private SecondSendBudget budget(String service) {
     NodeSettings s = node.settings();
     return byService.computeIfAbsent(
-        service,
-        n -> new SecondSendBudget(s.budgetWindowMs(), s.budgetRatio(), s.budgetExtra()));
+        service, n -> new SecondSendBudget(s.budgetWindowMs(), s.budgetRatio(), s.budgetExtra()));
   }
 }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -9,6 +9,7 @@
 import io.kumquatspindle.engine.fleet.LoadBoard;
 import io.kumquatspindle.engine.fleet.OrderBook;
 import io.kumquatspindle.engine.fleet.PlacementChooser;
+import io.kumquatspindle.engine.fleet.Prefetch;
 import io.kumquatspindle.node.NodeContext;
 import io.kumquatspindle.node.peer.PeerMessage;
 import io.kumquatspindle.node.peer.PeerNetwork;
@@ -39,6 +40,8 @@
   private final EngineCalls engines;
   private final LoadBoard loads = new LoadBoard();
   private final PlacementChooser chooser;
+  private final Prefetch prefetch;
+  private final Set<String> fetched = new HashSet<>();
   private final Map<String, OrderBook> books = new HashMap<>();
   private final Map<String, Long> born = new HashMap<>();
   private final Counter sent;
@@ -61,6 +64,7 @@
     this.network = network;
     this.engines = engines;
     this.chooser = new PlacementChooser(node.endpoints(), node.demand(), loads);
+    this.prefetch = new Prefetch(node.endpoints(), node.demand(), loads);
     this.sent = node.metrics().counter("orders_total");
   }
 
@@ -196,6 +200,32 @@
     }
   }
 
+  /** Called now and then: fetches models that no endpoint has a copy of, while there is room. */
+  public void prefetch() {
+    long now = node.now();
+    for (Endpoint e : List.copyOf(node.endpoints().all())) {
+      Optional<EngineInfo> engine = engine(e.entry().service());
+      boolean own = owners.holds(e.id(), e.entry().domain()) && owners.mayOrder(e.id());
+      if (engine.isEmpty() || !own || e.entry().leaving()) {
+        continue;
+      }
+      if (loads.fromStore(now) >= node.settings().storeLoadsAtOnce()) {
+        return;
+      }
+      OrderBook book = book(e);
+      if (book.wantCount() == 0) {
+        prefetch
+            .next(e, engine.get(), fetched, now)
+            .ifPresent(
+                m -> {
+                  node.log().line("prefetch").field("endpoint", e.id()).field("model", m).write();
+                  book.want(m, "", now);
+                  step(e, book);
+                });
+      }
+    }
+  }
+
   private boolean forgotten(String id) {
     Optional<Endpoint> e = node.endpoints().find(id);
     return e.isEmpty() || !owners.holds(id, e.get().entry().domain());
@@ -283,7 +313,10 @@
       long forMs,
       long now) {
     switch (kind) {
-      case LOADING -> loads.begin(e.id(), new LoadBoard.Load(model, fromStore, now + forMs));
+      case LOADING -> {
+        fetched.add(model);
+        loads.begin(e.id(), new LoadBoard.Load(model, fromStore, now + forMs));
+      }
       case LOADED -> {
         if (adapter.isEmpty()) {
           loads.end(e.id(), now);
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Owners.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Owners.java
@@ -74,7 +74,10 @@
     long now = node.now();
     long wall = System.currentTimeMillis();
     if ((wall - lastTickWallMs) - (now - lastTickMs) > SUSPENDED_MS) {
-      node.log().line("suspended").field("for_ms", (wall - lastTickWallMs) - (now - lastTickMs)).write();
+      node.log()
+          .line("suspended")
+          .field("for_ms", (wall - lastTickWallMs) - (now - lastTickMs))
+          .write();
       lease.drop();
       joinedMs = Long.MIN_VALUE / 2;
     }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
@@ -94,9 +94,7 @@
    */
   public List<String> addresses() {
     long now = node.now();
-    byAddress
-        .values()
-        .removeIf(p -> now - p.knownMs > FORGET_MS && now - p.heardMs > FORGET_MS);
+    byAddress.values().removeIf(p -> now - p.knownMs > FORGET_MS && now - p.heardMs > FORGET_MS);
     return List.copyOf(byAddress.keySet());
   }
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
@@ -164,7 +164,9 @@
           if (!node.settings().firstStart()) {
             q.startWith(0);
           }
-          early.getOrDefault(n, Map.of()).forEach((peer, total) -> q.peerConsumed(peer, total, now));
+          early
+              .getOrDefault(n, Map.of())
+              .forEach((peer, total) -> q.peerConsumed(peer, total, now));
           early.remove(n);
           return q;
         });
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/port/RecordStore.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/port/RecordStore.java
@@ -85,11 +85,7 @@
    * @param answer gets the answer, or empty if there was none
    */
   void join(
-      String group,
-      String member,
-      long generation,
-      long ttlMs,
-      Consumer<Optional<Joined>> answer);
+      String group, String member, long generation, long ttlMs, Consumer<Optional<Joined>> answer);
 
   /**
    * Leaves a group; the answer does not matter.
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/Upstream.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/Upstream.java
@@ -103,8 +103,7 @@
       @Override
       protected void initChannel(Channel ch) {
         ch.pipeline()
-            .addLast(
-                new HttpClientCodec(MOST_LINE_BYTES, MOST_HEAD_BYTES, CHUNK_BYTES, true))
+            .addLast(new HttpClientCodec(MOST_LINE_BYTES, MOST_HEAD_BYTES, CHUNK_BYTES, true))
             .addLast(new Answer());
       }
     };
@@ -163,9 +162,12 @@
         return;
       }
       if (object instanceof HttpResponse response) {
-        discarding = response.status().codeClass().equals(
-            io.netty.handler.codec.http.HttpStatusClass.INFORMATIONAL)
-            && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+        discarding =
+            response
+                    .status()
+                    .codeClass()
+                    .equals(io.netty.handler.codec.http.HttpStatusClass.INFORMATIONAL)
+                && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
         if (!discarding) {
           listener.head(response);
         }
--- /dev/null
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeerCodecTests.java
@@ -0,0 +1,44 @@
+package io.kumquatspindle.node.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+@DisplayName("Codec of messages between VMs")
+class PeerCodecTests {
+
+  static Stream<PeerMessage> messages() {
+    return Stream.of(
+        new PeerMessage.Digest(
+            -7,
+            "10.0.0.1:7600",
+            "west",
+            12,
+            true,
+            Map.of("c", 1.5),
+            Map.of("m", 3L),
+            Map.of("k", 2)),
+        new PeerMessage.Want("e", "m", "a1"),
+        new PeerMessage.Changed("e", "m", "", PeerMessage.Changed.Kind.LOADING, true, 6_000));
+  }
+
+  @ParameterizedTest
+  @MethodSource("messages")
+  @DisplayName("returns what was encoded")
+  void roundTrip(PeerMessage message) throws IOException {
+    assertEquals(message, PeerCodec.decode(PeerCodec.encode(message)));
+  }
+
+  @Test
+  @DisplayName("refuses a kind that it does not know")
+  void unknownKind() {
+    assertThrows(IOException.class, () -> PeerCodec.decode(new byte[] {99}));
+  }
+}
