--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/FleetQuota.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/FleetQuota.java
@@ -12,7 +12,11 @@
 public final class FleetQuota {
   private static final double MS_PER_SECOND = 1_000;
 
-  private final Map<String, Double> peers = new HashMap<>();
+  /** Silence after which a peer's share of the rate is set aside, in ms. */
+  public static final long SILENT_MS = 1_000;
+
+  private final Map<String, Told> peers = new HashMap<>();
+  private final long startMs;
   private double ratePerS;
   private double burst;
   private double level;
@@ -31,8 +35,11 @@
     this.burst = burst;
     this.level = burst;
     this.lastMs = now;
+    this.startMs = now;
   }
 
+  private record Told(double total, long atMs) {}
+
   /**
    * Changes rate and burst.
    *
@@ -100,20 +107,28 @@
   }
 
   /**
-   * Takes what a peer has consumed since its start.
+   * Takes what a peer has consumed since its start. What it consumed while it was not heard was
+   * covered by the share that was set aside for it, and what it consumed before this VM started is
+   * covered by the share of the burst that this VM started with.
    *
    * @param peer identity of the peer's process
    * @param total total consumption
    * @param now present time, in ms
    */
   public void peerConsumed(String peer, double total, long now) {
-    Double before = peers.put(peer, total);
-    if (before != null) {
-      level = Math.min(burst, level - (total - before));
-    } else if (total > 0) {
-      // Consumption of a peer that was not heard before; its recent part is at most one burst.
-      level -= Math.min(total, burst);
+    Told before = peers.put(peer, new Told(total, now));
+    if (before == null) {
+      boolean older = now - startMs <= SILENT_MS;
+      level -= older ? 0 : Math.min(total, burst);
+      return;
     }
+    double heard = Math.min(1, (double) SILENT_MS / Math.max(1, now - before.atMs()));
+    level = Math.min(burst, level - (total - before.total()) * heard);
+  }
+
+  /** Forgets when peers were heard, after this VM was suspended and gained nothing meanwhile. */
+  public void suspended() {
+    peers.replaceAll((peer, told) -> new Told(told.total(), Long.MIN_VALUE / 2));
   }
 
   /**
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -53,6 +53,9 @@
   /** Time kept for the end of the process before it is killed, in ms. */
   private static final long STOP_RESERVE_MS = 700;
 
+  /** Time before the end at which requests that still wait are refused, in ms. */
+  private static final long REFUSE_RESERVE_MS = 2_000;
+
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final NodeContext node;
@@ -218,9 +221,12 @@
 
   private void drain(long begunMs) {
     front.closeIdle();
-    long limit = begunMs + node.settings().graceMs() - STOP_RESERVE_MS;
-    if (front.busy() == 0 || node.now() >= limit) {
-      node.log().line("stopped").field("cut_off", front.busy()).write();
+    long left = begunMs + node.settings().graceMs() - node.now();
+    if (left <= REFUSE_RESERVE_MS) {
+      front.refuseWaiting();
+    }
+    if (front.open() == 0 || left <= STOP_RESERVE_MS) {
+      node.log().line("stopped").field("cut_off", front.open()).write();
       stopped.countDown();
       return;
     }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/CallerTimeouts.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/CallerTimeouts.java
@@ -38,6 +38,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
+    ctx.pipeline().get(FrontHandler.class).touched();
     if (message instanceof HttpRequest) {
       reading = true;
       answering++;
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -296,6 +296,13 @@
     answer.refuse(kind, retryAfterMs, head == null ? "" : head.id());
   }
 
+  /** Refuses the request if it waits for an endpoint. */
+  void stopWaiting() {
+    if (waiting && !over) {
+      fail(ErrorKind.SHUTTING_DOWN, DEFAULT_RETRY_MS, "");
+    }
+  }
+
   void callerLeft() {
     if (!over) {
       line("caller_left").field("after_ms", parts.node().now() - arrivedMs).write();
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontHandler.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontHandler.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.ArrayDeque;
 
 /** One caller's connection: its requests one after the other, and its end. */
@@ -23,10 +24,12 @@
   private final ExchangeFactory exchanges;
   private final ArrayDeque<FullHttpRequest> ahead = new ArrayDeque<>();
   private Exchange current;
+  private long lastMs;
 
   FrontHandler(NodeContext node, ExchangeFactory exchanges) {
     this.node = node;
     this.exchanges = exchanges;
+    this.lastMs = node.now();
   }
 
   /** Tells whether a request is being answered. */
@@ -34,6 +37,23 @@
     return current != null || !ahead.isEmpty();
   }
 
+  /** Tells whether nothing has happened on the connection for a time. */
+  boolean idleFor(long ms) {
+    return !busy() && node.now() - lastMs >= ms;
+  }
+
+  /** Notes that a part of a request has arrived. */
+  void touched() {
+    lastMs = node.now();
+  }
+
+  /** Refuses the request that waits, as the program stops. */
+  void refuseWaiting() {
+    if (current != null) {
+      current.stopWaiting();
+    }
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     if (!(message instanceof FullHttpRequest request)) {
@@ -75,12 +95,11 @@
 
   private void ended(ChannelHandlerContext ctx) {
     current = null;
+    touched();
     FullHttpRequest next = ahead.pollFirst();
     ctx.channel().config().setAutoRead(true);
     if (next != null) {
       begin(ctx, next);
-    } else if (node.stopping()) {
-      ctx.close();
     }
   }
 
@@ -103,6 +122,11 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    if (!(cause instanceof IOException)) {
+      StackTraceElement[] trace = cause.getStackTrace();
+      String at = trace.length > 0 ? " at " + trace[0] : "";
+      node.log().line("internal_error").field("reason", cause + at).write();
+    }
     ctx.close();
   }
 }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServer.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServer.java
@@ -21,6 +21,9 @@
   /** Connections that wait to be accepted. */
   private static final int BACKLOG = 512;
 
+  /** Quiet time after which a connection is closed at a stop, in ms; a request may be coming. */
+  private static final long CLOSE_IDLE_MS = 300;
+
   private final NodeContext node;
   private final ExchangeFactory exchanges;
   private final Set<Channel> open = new HashSet<>();
@@ -58,19 +61,25 @@
   /** Closes connections on which no request is being answered. */
   public void closeIdle() {
     for (Channel c : Set.copyOf(open)) {
-      if (!c.pipeline().get(FrontHandler.class).busy()) {
+      FrontHandler h = c.pipeline().get(FrontHandler.class);
+      if (h != null && h.idleFor(CLOSE_IDLE_MS)) {
         c.close();
       }
     }
   }
 
   /**
-   * Returns the number of connections on which a request is being answered.
+   * Returns the number of open connections.
    *
    * @return number of connections
    */
-  public long busy() {
-    return open.stream().filter(c -> c.pipeline().get(FrontHandler.class).busy()).count();
+  public int open() {
+    return open.size();
+  }
+
+  /** Refuses the requests that still wait for an endpoint. */
+  public void refuseWaiting() {
+    Set.copyOf(open).forEach(c -> c.pipeline().get(FrontHandler.class).refuseWaiting());
   }
 
   private final class Setup extends ChannelInitializer<Channel> {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Owners.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Owners.java
@@ -79,6 +79,7 @@
           .field("for_ms", (wall - lastTickWallMs) - (now - lastTickMs))
           .write();
       lease.drop();
+      quotas.suspended();
       joinedMs = Long.MIN_VALUE / 2;
     }
     lastTickMs = now;
@@ -133,6 +134,7 @@
                   rows -> {
                     members.put(domain, rows);
                     Set<String> addresses = new HashSet<>();
+                    rows.values().removeIf(String::isBlank);
                     rows.values().forEach(m -> addresses.add(address(m)));
                     peers.members(addresses);
                     if (members.size() >= node.settings().domains().size()) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
@@ -1,5 +1,6 @@
 package io.kumquatspindle.node.peer;
 
+import io.kumquatspindle.engine.fleet.FleetQuota;
 import io.kumquatspindle.node.NodeContext;
 import java.util.HashMap;
 import java.util.List;
@@ -12,7 +13,7 @@
   public static final long DIGEST_MS = 200;
 
   /** Silence after which a peer is taken not to be heard, in ms; five digests. */
-  static final long SILENT_MS = 1_000;
+  static final long SILENT_MS = FleetQuota.SILENT_MS;
 
   /** Silence after which a peer that no group names is forgotten, in ms. */
   private static final long FORGET_MS = 10_000;
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
@@ -135,6 +135,11 @@
     digest.models().forEach((model, uses) -> node.demand().add(model, uses, now));
   }
 
+  /** Notes that this VM was suspended. */
+  public void suspended() {
+    byCustomer.values().forEach(FleetQuota::suspended);
+  }
+
   /** Sends a digest to all peers. */
   public void tell() {
     Map<String, Double> consumed = new HashMap<>();
