--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -105,7 +105,8 @@
     owners = new Owners(node, store, peers, quotas, network.self());
     orders = new OrderController(node, owners, peers, network, adapter.engines().apply(node));
     waits = new WaitRoom(node, orders);
-    orders.onChange(waits::tick);
+    // Later, so that a change that a request causes does not reach that request before it waits.
+    orders.onChange(() -> node.loop().execute(waits::tick));
     state = new FleetState(node, adapter.decoder(), quotas::configured);
     configurations =
         new Follower(
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -371,6 +371,9 @@
 
   @Override
   public void proceed() {
+    if (over || !waiting) {
+      return;
+    }
     waiting = false;
     tried.clear();
     dispatch();
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/ModelSource.java
@@ -0,0 +1,27 @@
+package io.kumquatspindle.node.order;
+
+import io.kumquatspindle.engine.fleet.Endpoint;
+import java.util.Set;
+
+/** Gets models and adapters loaded where they are wanted. */
+public interface ModelSource {
+
+  /**
+   * Wants a model, or an adapter of it, at the endpoint that suits best.
+   *
+   * @param service name of the service
+   * @param model name of the model
+   * @param adapter name of the adapter, or empty text
+   * @param asked endpoints that were asked before and did not help; the choice is added
+   */
+  void want(String service, String model, String adapter, Set<String> asked);
+
+  /**
+   * Notes that a model is used at an endpoint.
+   *
+   * @param endpoint the endpoint
+   * @param model name of the model
+   * @param adapter name of the adapter, or empty text
+   */
+  void used(Endpoint endpoint, String model, String adapter);
+}
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -23,7 +23,7 @@
 import java.util.Set;
 
 /** Gives orders to the endpoints that this VM holds, and tells other VMs what is wanted there. */
-public final class OrderController {
+public final class OrderController implements ModelSource {
   /** Age after which a want is forgotten unless it is told again, in ms. */
   private static final long WANT_VALID_MS = 3_000;
 
@@ -77,14 +77,7 @@
     changed = listener;
   }
 
-  /**
-   * Wants a model, or an adapter of it, at the endpoint that suits best.
-   *
-   * @param service name of the service
-   * @param model name of the model
-   * @param adapter name of the adapter, or empty text
-   * @param asked endpoints that were asked before and did not help; the choice is added
-   */
+  @Override
   public void want(String service, String model, String adapter, Set<String> asked) {
     Optional<EngineInfo> engine = engine(service);
     if (engine.isEmpty()) {
@@ -150,13 +143,7 @@
         .ifPresent(e -> apply(e, c.model(), c.adapter(), c.kind(), c.fromStore(), c.forMs(), now));
   }
 
-  /**
-   * Notes that a model is used at an endpoint.
-   *
-   * @param endpoint the endpoint
-   * @param model name of the model
-   * @param adapter name of the adapter, or empty text
-   */
+  @Override
   public void used(Endpoint endpoint, String model, String adapter) {
     OrderBook book = books.get(endpoint.id());
     if (book != null) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
@@ -23,7 +23,7 @@
   private static final long FULL_RETRY_MS = 1_000;
 
   private final NodeContext node;
-  private final OrderController orders;
+  private final ModelSource orders;
   private final Map<Key, Queue> queues = new LinkedHashMap<>();
   private int waiting;
 
@@ -41,7 +41,7 @@
    * @param node shared context
    * @param orders gets what is wanted
    */
-  public WaitRoom(NodeContext node, OrderController orders) {
+  public WaitRoom(NodeContext node, ModelSource orders) {
     this.node = node;
     this.orders = orders;
   }
@@ -86,15 +86,24 @@
   public void tick() {
     for (Map.Entry<Key, Queue> e : List.copyOf(queues.entrySet())) {
       if (held(e.getKey())) {
-        queues.remove(e.getKey());
-        waiting -= e.getValue().waiters.size();
-        e.getValue().waiters.forEach(Waiter::proceed);
+        release(e.getKey());
       } else {
         ask(e.getKey(), e.getValue());
       }
     }
   }
 
+  /** Lets the requests of one queue proceed, each once, whatever they cause in this room. */
+  private void release(Key key) {
+    Queue q = queues.remove(key);
+    if (q != null) {
+      waiting -= q.waiters.size();
+      List<Waiter> released = List.copyOf(q.waiters);
+      q.waiters.clear();
+      released.forEach(Waiter::proceed);
+    }
+  }
+
   /**
    * Notes that a model is used at an endpoint.
    *
--- /dev/null
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/WaitRoomTests.java
@@ -0,0 +1,143 @@
+package io.kumquatspindle.node.order;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import io.kumquatspindle.api.fleet.CallerLimits;
+import io.kumquatspindle.api.fleet.EndpointEntry;
+import io.kumquatspindle.api.fleet.EngineInfo;
+import io.kumquatspindle.api.fleet.FleetConfiguration;
+import io.kumquatspindle.api.fleet.HeldModel;
+import io.kumquatspindle.api.fleet.ModelInfo;
+import io.kumquatspindle.api.fleet.ServiceInfo;
+import io.kumquatspindle.engine.fleet.Endpoint;
+import io.kumquatspindle.node.NodeContext;
+import io.kumquatspindle.node.observe.EventLog;
+import java.io.OutputStream;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("Room of requests that wait for a model")
+class WaitRoomTests {
+  private final NodeContext node =
+      new NodeContext(
+          null,
+          null,
+          () -> 1_000,
+          new EventLog(OutputStream.nullOutputStream(), () -> 1_000, "vm", new Counter()),
+          new MetricRegistry());
+  private WaitRoom room;
+
+  @Test
+  @DisplayName("releases a request once when its release makes the room look again")
+  void releasedOnce() {
+    configure();
+    room = new WaitRoom(node, new NoSource());
+    CountingWaiter first = new CountingWaiter("m1");
+    CountingWaiter second = new CountingWaiter("m2");
+    room.enter(first);
+    room.enter(second);
+    node.endpoints().put(endpoint("m1", "m2"));
+
+    room.tick();
+
+    assertEquals(1, first.proceeded);
+    assertEquals(1, second.proceeded);
+    assertEquals(0, room.waiting());
+  }
+
+  @Test
+  @DisplayName("refuses at once a model that the configuration does not name")
+  void unknownModel() {
+    configure();
+    room = new WaitRoom(node, new NoSource());
+    CountingWaiter waiter = new CountingWaiter("other");
+    room.enter(waiter);
+
+    assertEquals(1, waiter.refused);
+    assertEquals(0, room.waiting());
+  }
+
+  private void configure() {
+    ModelInfo info = new ModelInfo("m1", 1, 6_000, 1_000, 500, 1);
+    EngineInfo engine = new EngineInfo(8, 1_000, 10, 2, 1, Map.of("m1", info, "m2", info));
+    node.configuration(
+        new FleetConfiguration(
+            1,
+            List.of(),
+            List.of(new ServiceInfo("s", Optional.of(engine))),
+            List.of(),
+            CallerLimits.DEFAULTS));
+  }
+
+  private static EndpointEntry endpoint(String... models) {
+    return new EndpointEntry(
+        "e",
+        "s",
+        "10.0.0.1",
+        80,
+        "west",
+        8,
+        false,
+        OptionalLong.empty(),
+        0,
+        List.of(models).stream().map(m -> new HeldModel(m, Set.of())).toList(),
+        Set.of(),
+        Set.of());
+  }
+
+  private static final class NoSource implements ModelSource {
+    @Override
+    public void want(String service, String model, String adapter, Set<String> asked) {}
+
+    @Override
+    public void used(Endpoint endpoint, String model, String adapter) {}
+  }
+
+  private final class CountingWaiter implements Waiter {
+    private final String model;
+    private int proceeded;
+    private int refused;
+
+    private CountingWaiter(String model) {
+      this.model = model;
+    }
+
+    @Override
+    public String service() {
+      return "s";
+    }
+
+    @Override
+    public String model() {
+      return model;
+    }
+
+    @Override
+    public String adapter() {
+      return "";
+    }
+
+    @Override
+    public long deadlineMs() {
+      return Long.MAX_VALUE;
+    }
+
+    @Override
+    public void proceed() {
+      proceeded++;
+      room.tick();
+    }
+
+    @Override
+    public void refuse(long retryAfterMs) {
+      refused++;
+    }
+  }
+}
