Give up silent endpoints where a request may be repeated, and cut-off domains at once

Load pattern: answers that are lost, endpoints that hang, a failure domain cut off. An endpoint silent for longer than usual counts as failing; streams that may be resumed and idempotent calls go elsewhere within their budget. A failure domain whose VMs are all silent is avoided without trying each endpoint, and an endpoint that accepts no connection for longer each time.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Endpoint.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Endpoint.java
@@ -26,6 +26,12 @@
   /** Half-life of the share of failures while the endpoint is not tried, in ms. */
   private static final double FAILURE_HALF_LIFE_MS = 4_000;
 
+  /** Time for which an endpoint is avoided that accepted no connection, in ms. */
+  private static final long UNREACHABLE_MS = 1_500;
+
+  /** Doublings of that time, at most: to 12 s, the time in which the platform expects recovery. */
+  private static final int MOST_DOUBLINGS = 3;
+
   private final Map<String, News> news = new HashMap<>();
   private EndpointEntry entry;
   private int inFlight;
@@ -34,6 +40,7 @@
   private double failures;
   private long failuresAtMs;
   private long avoidUntilMs;
+  private int unreachable;
 
   Endpoint(EndpointEntry entry) {
     this.entry = entry;
@@ -83,6 +90,7 @@
    * @param now present time, in ms
    */
   public void outcome(boolean failed, long now) {
+    unreachable = 0;
     failures = failureShare(now) * (1 - FAILURE_WEIGHT) + (failed ? FAILURE_WEIGHT : 0);
     failuresAtMs = now;
   }
@@ -106,6 +114,16 @@
     avoidUntilMs = Math.max(avoidUntilMs, untilMs);
   }
 
+  /**
+   * Notes that the endpoint accepted no connection, and avoids it for longer each time in a row.
+   *
+   * @param now present time, in ms
+   */
+  public void unreachable(long now) {
+    avoid(now + (UNREACHABLE_MS << Math.min(unreachable, MOST_DOUBLINGS)));
+    unreachable++;
+  }
+
   /**
    * Tells whether requests should go elsewhere.
    *
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -26,6 +26,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.OutputStream;
 import java.security.SecureRandom;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -69,6 +70,7 @@
   private final FleetState state;
   private final Follower configurations;
   private final Follower endpoints;
+  private Set<String> silentDomains = Set.of();
 
   /**
    * What the platform's adapter provides.
@@ -170,11 +172,25 @@
 
   private void groupTick() {
     owners.tick();
+    avoidSilentDomains();
     for (String id : node.endpoints().expire(node.now())) {
       node.log().line("endpoint_gone").field("endpoint", id).field("reason", "lapsed").write();
     }
   }
 
+  /** Sends requests elsewhere while a failure domain is cut off, without trying each endpoint. */
+  private void avoidSilentDomains() {
+    Set<String> silent = peers.silentDomains();
+    if (!silent.equals(silentDomains)) {
+      node.log().line("domains_silent").field("domains", silent.toString()).write();
+      silentDomains = silent;
+    }
+    long until = node.now() + 2 * GROUP_TICK_MS;
+    node.endpoints().all().stream()
+        .filter(e -> silent.contains(e.entry().domain()))
+        .forEach(e -> e.avoid(until));
+  }
+
   private void tick() {
     orders.tick();
     waits.tick();
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Attempt.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Attempt.java
@@ -16,12 +16,25 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 
 /** One send of a request to one endpoint. */
 final class Attempt implements Upstream.Listener {
   /** Largest answer that is held back until it is complete, in bytes. */
   private static final int MOST_HELD_BYTES = 256 * 1024;
 
+  /** Least silence that says anything, in ms: several steps of an engine, or a slow request. */
+  private static final long LEAST_SILENCE_MS = 300;
+
+  /** Silence inside a stream that says that it has stopped, in ms; pauses on time are 0.3 s. */
+  private static final long STREAM_SILENCE_MS = 1_000;
+
+  /** Silence before the first byte, in multiples of the route's goal. */
+  private static final double GOALS_STREAM = 0.6;
+
+  private static final double GOALS_WHOLE = 3;
+
   private final Exchange exchange;
   private final FrontParts parts;
   private final Endpoint endpoint;
@@ -35,6 +48,8 @@
   private boolean streaming;
   private boolean sent;
   private boolean over;
+  private long lastByteMs;
+  private ScheduledFuture<?> silence;
 
   Attempt(
       Exchange exchange,
@@ -89,6 +104,9 @@
       return false;
     }
     over = true;
+    if (silence != null) {
+      silence.cancel(false);
+    }
     endpoint.ended();
     parts.node().running().end(endpoint.id(), exchange.model(), exchange.adapter());
     return true;
@@ -104,10 +122,36 @@
   @Override
   public void sent() {
     sent = true;
+    lastByteMs = parts.node().now();
+    watch(firstByteMs());
+  }
+
+  private long firstByteMs() {
+    double goals = exchange.route().kind() == CallKind.STREAM ? GOALS_STREAM : GOALS_WHOLE;
+    return Math.max(LEAST_SILENCE_MS, Math.round(goals * exchange.route().goalMs()));
+  }
+
+  /** Looks, after a time, whether the endpoint has sent anything in that time. */
+  private void watch(long ms) {
+    silence = parts.node().loop().schedule(() -> look(ms), ms, TimeUnit.MILLISECONDS);
+  }
+
+  private void look(long limitMs) {
+    long silent = parts.node().now() - lastByteMs;
+    long limit = head == null ? limitMs : STREAM_SILENCE_MS;
+    if (over) {
+      return;
+    }
+    if (silent < limit) {
+      watch(limit - silent);
+    } else if (exchange.giveUpSilent(endpoint, silent)) {
+      broken("silent for " + silent + " ms");
+    }
   }
 
   @Override
   public void head(HttpResponse response) {
+    lastByteMs = parts.node().now();
     AnswerHead says = parts.headers().answer(response);
     says.load().ifPresent(l -> endpoint.load(l, parts.node().now()));
     if (says.requestId().isPresent() && !says.requestId().get().equals(exchange.id())) {
@@ -136,6 +180,7 @@
 
   @Override
   public void data(ByteBuf data) {
+    lastByteMs = parts.node().now();
     if (streaming) {
       answer.streamData(data);
       upstream.reading(answer.writable());
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -27,9 +27,6 @@
   /** Endpoints to which one request may fail to connect. */
   private static final int MOST_UNREACHABLE = 4;
 
-  /** Time for which an endpoint that does not accept connections is avoided, in ms. */
-  private static final long UNREACHABLE_MS = 1_500;
-
   private final FrontParts parts;
   private final FullHttpRequest request;
   private final Answerer answer;
@@ -164,7 +161,7 @@
   void onUnreachable(Endpoint endpoint) {
     attempt = Optional.empty();
     long now = parts.node().now();
-    endpoint.avoid(now + UNREACHABLE_MS);
+    endpoint.unreachable(now);
     line("unreachable").field("endpoint", endpoint.id()).write();
     if (++unreachable >= MOST_UNREACHABLE && runs == 0) {
       fail(ErrorKind.NO_ENDPOINT, DEFAULT_RETRY_MS, "not reachable");
@@ -205,11 +202,11 @@
   /** The request may have run and has no usable answer. */
   void onBroken(Endpoint endpoint, String reason) {
     attempt = Optional.empty();
+    boolean mayRepeat = mayRepeat();
     runs++;
     endpoint.outcome(true, parts.node().now());
     line("broken").field("endpoint", endpoint.id()).field("reason", reason).write();
-    boolean mayRepeat = route().repeatable() || route().resumable();
-    if (mayRepeat && runs < route().attempts() && parts.budgets().tryRepeat(service)) {
+    if (mayRepeat && parts.budgets().tryRepeat(service)) {
       parts.metrics().secondSend("broken");
       answer.prepareResume();
       dispatch();
@@ -218,6 +215,22 @@
     }
   }
 
+  /** Tells whether the request may be sent to another endpoint although it may have run. */
+  private boolean mayRepeat() {
+    boolean kind = route().repeatable() || route().resumable();
+    return kind && runs + 1 < route().attempts();
+  }
+
+  /** The endpoint has sent nothing for longer than usual; tells whether to give it up. */
+  boolean giveUpSilent(Endpoint endpoint, long silentMs) {
+    line("silent").field("endpoint", endpoint.id()).field("silent_ms", silentMs).write();
+    endpoint.outcome(true, parts.node().now());
+    boolean others =
+        candidates(parts.node().now()).stream()
+            .anyMatch(e -> !tried.contains(e.id()) && !e.avoided(parts.node().now()));
+    return mayRepeat() && others;
+  }
+
   /** Tells whether a failure that the endpoint answered may be tried elsewhere. */
   boolean tryElsewhere(Endpoint endpoint) {
     if (!route().repeatable() || runs + 1 >= route().attempts()) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
@@ -3,6 +3,7 @@
 import io.kumquatspindle.engine.fleet.FleetQuota;
 import io.kumquatspindle.node.NodeContext;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -15,6 +16,9 @@
   /** Silence after which a peer is taken not to be heard, in ms; five digests. */
   static final long SILENT_MS = FleetQuota.SILENT_MS;
 
+  /** Silence of all VMs of a failure domain that shows a cut, in ms; three digests. */
+  private static final long DOMAIN_SILENT_MS = 600;
+
   /** Silence after which a peer that no group names is forgotten, in ms. */
   private static final long FORGET_MS = 10_000;
 
@@ -88,6 +92,22 @@
     return p != null && node.now() - p.heardMs <= SILENT_MS;
   }
 
+  /**
+   * Returns failure domains none of whose known VMs is heard, though some were: they are cut off.
+   *
+   * @return names of failure domains
+   */
+  public Set<String> silentDomains() {
+    long now = node.now();
+    Set<String> silent = new HashSet<>();
+    byAddress.values().stream().filter(p -> !p.domain.isEmpty()).forEach(p -> silent.add(p.domain));
+    byAddress.values().stream()
+        .filter(p -> now - p.heardMs <= DOMAIN_SILENT_MS)
+        .forEach(p -> silent.remove(p.domain));
+    silent.remove(node.settings().domain());
+    return silent;
+  }
+
   /**
    * Returns the peers to send to.
    *
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/Upstream.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/Upstream.java
@@ -25,7 +25,7 @@
  */
 public final class Upstream {
   /** Time to connect, in ms: some ten times a round trip between failure domains. */
-  private static final int CONNECT_MS = 300;
+  private static final int CONNECT_MS = 250;
 
   private static final int MOST_LINE_BYTES = 8_192;
   private static final int MOST_HEAD_BYTES = 65_536;
