--- a/kumquatspindle-api/src/main/java/io/kumquatspindle/api/fleet/ModelInfo.java
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/fleet/ModelInfo.java
@@ -9,6 +9,13 @@
  * @param diskMs time to load from the endpoint's disk, in ms
  * @param memoryMs time to load from the endpoint's main memory, in ms
  * @param adapterMb size of one of its adapters, in MB
+ * @param adapters number of its adapters
  */
 public record ModelInfo(
-    String name, double weightsMb, long storeMs, long diskMs, long memoryMs, double adapterMb) {}
+    String name,
+    double weightsMb,
+    long storeMs,
+    long diskMs,
+    long memoryMs,
+    double adapterMb,
+    int adapters) {}
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Endpoint.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Endpoint.java
@@ -143,10 +143,10 @@
    * @param now present time, in ms
    */
   public void news(String model, String adapter, boolean held, long now) {
-    news.put(key(model, adapter), new News(held, now + NEWS_VALID_MS));
     if (!held && adapter.isEmpty()) {
       news.keySet().removeIf(k -> k.startsWith(model + "/"));
     }
+    news.put(key(model, adapter), new News(held, now + NEWS_VALID_MS));
   }
 
   /**
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/FleetQuota.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/FleetQuota.java
@@ -152,9 +152,8 @@
   private void accrue(long now, double share) {
     double cap = burst * share;
     double gained = (now - lastMs) * ratePerS * share / MS_PER_SECOND;
-    if (level < cap) {
-      level = Math.min(cap, level + gained);
-    }
+    // What exceeds the cap belongs to VMs that are not heard and may be spending it now.
+    level = Math.min(cap, level + gained);
     lastMs = now;
   }
 }
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Prefetch.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Prefetch.java
@@ -1,10 +1,13 @@
 package io.kumquatspindle.engine.fleet;
 
 import io.kumquatspindle.api.fleet.EngineInfo;
+import io.kumquatspindle.api.fleet.ModelInfo;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -49,22 +52,40 @@
     if (loads.at(endpoint.id(), now).isPresent() || busy(endpoint, now)) {
       return Optional.empty();
     }
-    Set<String> copied = new HashSet<>(held);
+    Map<String, Integer> copies = copies(all, now);
+    held.forEach(m -> copies.merge(m, 1, Integer::sum));
+    return engine.models().values().stream()
+        .filter(m -> copies.getOrDefault(m.name(), 0) < wanted(m))
+        .filter(m -> home(m.name(), all, now).equals(endpoint.id()))
+        .max(Comparator.comparingInt(Prefetch::wanted).thenComparing(m -> Hashes.of(m.name())))
+        .map(ModelInfo::name);
+  }
+
+  /** A model with adapters is one that customers work with: its only copy may leave. */
+  private static int wanted(ModelInfo model) {
+    return model.adapters() > 0 ? 2 : 1;
+  }
+
+  private Map<String, Integer> copies(List<Endpoint> all, long now) {
+    Map<String, Integer> copies = new HashMap<>();
     for (Endpoint e : all) {
-      copied.addAll(e.models(now));
-      copied.addAll(e.entry().inMemory());
-      copied.addAll(e.entry().onDisk());
-      loads.at(e.id(), now).ifPresent(l -> copied.add(l.model()));
+      copied(e, now).forEach(m -> copies.merge(m, 1, Integer::sum));
     }
-    return engine.models().keySet().stream()
-        .filter(m -> !copied.contains(m) && home(m, all, now).equals(endpoint.id()))
-        .max(Comparator.comparingLong(m -> Hashes.of(m)));
+    return copies;
+  }
+
+  private Set<String> copied(Endpoint e, long now) {
+    Set<String> copied = new HashSet<>(e.models(now));
+    copied.addAll(e.entry().inMemory());
+    copied.addAll(e.entry().onDisk());
+    loads.at(e.id(), now).ifPresent(l -> copied.add(l.model()));
+    return copied;
   }
 
   /** Each model has one endpoint that fetches it, so that no two fetch the same. */
   private String home(String model, Collection<Endpoint> all, long now) {
     return all.stream()
-        .filter(e -> !busy(e, now))
+        .filter(e -> !busy(e, now) && !copied(e, now).contains(model))
         .map(Endpoint::id)
         .max(Comparator.comparingLong(id -> Hashes.of(model + id)))
         .orElse("");
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/Follower.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/Follower.java
@@ -10,9 +10,12 @@
  * written, and the newest again when records were deleted that had not been read.
  */
 public final class Follower {
-  /** Pause after a failed read, in ms. */
+  /** Pause after the first failed read, in ms; doubles with each in a row. */
   private static final long FAILURE_PAUSE_MS = 300;
 
+  /** Longest pause after a failed read, in ms; leaves half of the time for a configuration. */
+  private static final long MOST_PAUSE_MS = 900;
+
   private final NodeContext node;
   private final RecordStore store;
   private final RecordStore.Topic topic;
@@ -21,6 +24,7 @@
   private final long pauseMs;
   private OptionalLong next = OptionalLong.empty();
   private long failedSinceMs;
+  private long failurePauseMs = FAILURE_PAUSE_MS;
   private boolean failing;
   private boolean reading;
 
@@ -114,12 +118,14 @@
             .field("reason", f.reason())
             .write();
       }
-      pause = FAILURE_PAUSE_MS;
+      pause = failurePauseMs;
+      failurePauseMs = Math.min(MOST_PAUSE_MS, 2 * failurePauseMs);
     }
     node.after(pause, this::read);
   }
 
   private void regained() {
+    failurePauseMs = FAILURE_PAUSE_MS;
     if (failing) {
       failing = false;
       long after = node.now() - failedSinceMs;
