Refuse at once what will not be ready before the caller leaves

Load pattern: models that move and rare models all at once. A stream whose model cannot be held before its caller goes away is refused with the time at which it will be, spread, instead of being held until the caller leaves; callers that are told come back. Fewer questions for group members.

--- a/kumquatspindle-api/src/main/java/io/kumquatspindle/api/fleet/RouteSpec.java
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/fleet/RouteSpec.java
@@ -16,6 +16,7 @@
  * @param attempts most endpoints that one request may be sent to
  * @param open whether no key is needed
  * @param resumable whether a stream may go on at another endpoint
+ * @param gapGoalMs longest pause between a stream's events that is on time, in ms
  */
 public record RouteSpec(
     String name,
@@ -28,7 +29,10 @@
     List<Target> targets,
     int attempts,
     boolean open,
-    boolean resumable) {
+    boolean resumable,
+    long gapGoalMs) {
+
+  private static final long STREAM_PATIENCE_MS = 2_000;
 
   /** Copies the list. */
   public RouteSpec {
@@ -44,6 +48,19 @@
     return kind == CallKind.IDEMPOTENT;
   }
 
+  /**
+   * Returns how long a caller waits for the first byte before it goes away, as callers' usual
+   * clients do: for streams two seconds, four goals or eight pauses, whichever is longest.
+   *
+   * @return time in ms; {@link Long#MAX_VALUE} if it waits until its deadline
+   */
+  public long patienceMs() {
+    if (kind != CallKind.STREAM) {
+      return Long.MAX_VALUE;
+    }
+    return Math.max(STREAM_PATIENCE_MS, Math.max(4 * goalMs, 8 * gapGoalMs));
+  }
+
   /**
    * Picks a service by weight.
    *
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
@@ -127,6 +127,36 @@
     return ms + loadMs(e.entry(), model) + evictionMs(e, engine, model, now);
   }
 
+  /**
+   * Predicts when a model will be held somewhere, if it is wanted now.
+   *
+   * @param service name of the service
+   * @param model the model
+   * @param storeLoadsAtOnce loads from the weight store that run at full speed together
+   * @param now present time, in ms
+   * @return time from now, in ms
+   */
+  public long readyInMs(String service, ModelInfo model, int storeLoadsAtOnce, long now) {
+    long storeMs = model.storeMs();
+    if (loads.fromStore(now) >= storeLoadsAtOnce) {
+      storeMs += model.storeMs() / 2;
+    }
+    long best = storeMs;
+    for (Endpoint e : endpoints.of(service)) {
+      Optional<LoadBoard.Load> load = loads.at(e.id(), now);
+      if (e.holds(model.name(), "", now)) {
+        return 0;
+      }
+      long rest = load.map(l -> Math.max(0, l.untilMs() - now)).orElse(0L);
+      boolean own = load.isPresent() && load.get().model().equals(model.name());
+      long ms = loadMs(e.entry(), model);
+      if (own || ms < model.storeMs()) {
+        best = Math.min(best, own ? rest : rest + ms);
+      }
+    }
+    return best;
+  }
+
   /**
    * Returns how long an endpoint takes to load a model, when it loads nothing else.
    *
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -36,6 +36,11 @@
   /** Longest wait of a read of the configuration at the store, in ms. */
   private static final long CONFIGURATION_WAIT_MS = 2_500;
 
+  /**
+   * Pause between reads of the configuration, in ms; versions in quick succession come together.
+   */
+  private static final long CONFIGURATION_PAUSE_MS = 150;
+
   /** Pause between reads of the endpoints, in ms; well inside the time to leave one alone. */
   private static final long ENDPOINTS_PAUSE_MS = 900;
 
@@ -116,7 +121,7 @@
             store,
             RecordStore.Topic.CONFIGURATION,
             CONFIGURATION_WAIT_MS,
-            0,
+            CONFIGURATION_PAUSE_MS,
             state.configurations());
     endpoints =
         new Follower(
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -6,7 +6,6 @@
 import io.kumquatspindle.api.model.Ran;
 import io.kumquatspindle.engine.fleet.Endpoint;
 import io.kumquatspindle.node.observe.EventLog;
-import io.kumquatspindle.node.order.Waiter;
 import io.kumquatspindle.node.port.HeaderCodec;
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.HashSet;
@@ -20,9 +19,9 @@
  * One request of a caller: authorised, charged, placed, sent, and answered once. All calls are made
  * on the event loop.
  */
-final class Exchange implements Waiter {
+final class Exchange implements ModelWait.Listener {
   /** Time before the deadline at which a request that was not sent is refused, in ms. */
-  private static final long REFUSE_BEFORE_MS = 50;
+  private static final long REFUSE_BEFORE_MS = 80;
 
   /** Endpoints to which one request may fail to connect. */
   private static final int MOST_UNREACHABLE = 4;
@@ -41,7 +40,7 @@
   private int runs;
   private Optional<Attempt> attempt = Optional.empty();
   private ScheduledFuture<?> timer;
-  private boolean waiting;
+  private Optional<ModelWait> wait = Optional.empty();
   private boolean over;
 
   Exchange(FrontParts parts, FullHttpRequest request, CallerChannel caller) {
@@ -82,7 +81,7 @@
   }
 
   /** Time after which a caller may come back when nothing better is known, in ms. */
-  private static final long DEFAULT_RETRY_MS = 400;
+  static final long DEFAULT_RETRY_MS = 400;
 
   private String path() {
     String uri = request.uri();
@@ -112,8 +111,8 @@
     if (chosen.isPresent()) {
       send(chosen.get(), now);
     } else if (needsModel()) {
-      waiting = true;
-      parts.waits().enter(this);
+      ModelWait begun = ModelWait.begin(parts, head, service, waitUntilMs(), this);
+      wait = over || attempt.isPresent() ? Optional.empty() : Optional.of(begun);
     } else {
       fail(ErrorKind.NO_ENDPOINT, DEFAULT_RETRY_MS, "candidates " + candidates.size());
     }
@@ -311,7 +310,7 @@
 
   /** Refuses the request if it waits for an endpoint. */
   void stopWaiting() {
-    if (waiting && !over) {
+    if (wait.isPresent() && !over && runs == 0) {
       fail(ErrorKind.SHUTTING_DOWN, DEFAULT_RETRY_MS, "");
     }
   }
@@ -338,9 +337,7 @@
     if (timer != null) {
       timer.cancel(false);
     }
-    if (waiting) {
-      parts.waits().leave(this);
-    }
+    wait.ifPresent(ModelWait::leave);
     request.release();
   }
 
@@ -362,39 +359,35 @@
     return head.id();
   }
 
-  @Override
-  public String service() {
-    return service;
-  }
-
-  @Override
-  public String model() {
+  String model() {
     return head.model();
   }
 
-  @Override
-  public String adapter() {
+  String adapter() {
     return head.adapter();
   }
 
-  @Override
-  public long deadlineMs() {
-    return deadlineMs;
+  /** Returns when the caller goes away if it has got nothing, less the time to tell it. */
+  private long waitUntilMs() {
+    long patience = route().patienceMs();
+    long leaves = patience == Long.MAX_VALUE ? deadlineMs : arrivedMs + patience;
+    return Math.min(deadlineMs, leaves) - REFUSE_BEFORE_MS;
   }
 
   @Override
-  public void proceed() {
-    if (over || !waiting) {
-      return;
-    }
-    waiting = false;
+  public void modelHeld() {
+    wait = Optional.empty();
     tried.clear();
     dispatch();
   }
 
   @Override
-  public void refuse(long retryAfterMs) {
-    waiting = false;
-    fail(ErrorKind.LOAD_REFUSED, retryAfterMs, "model " + head.model());
+  public void modelTooLate(long retryAfterMs) {
+    wait = Optional.empty();
+    if (runs > 0) {
+      failAfterRun("model is not there in time");
+    } else {
+      fail(ErrorKind.LOAD_REFUSED, retryAfterMs, "model " + head.model());
+    }
   }
 }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/ModelSource.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/ModelSource.java
@@ -16,6 +16,15 @@
    */
   void want(String service, String model, String adapter, Set<String> asked);
 
+  /**
+   * Predicts when a model will be held, if it is wanted now.
+   *
+   * @param service name of the service
+   * @param model name of the model
+   * @return time from now, in ms
+   */
+  long readyInMs(String service, String model);
+
   /**
    * Notes that a model is used at an endpoint.
    *
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -108,6 +108,13 @@
     holder.ifPresent(h -> network.send(h, new PeerMessage.Want(e.id(), model, adapter)));
   }
 
+  @Override
+  public long readyInMs(String service, String model) {
+    ModelInfo info = engine(service).map(e -> e.models().get(model)).orElse(null);
+    int atOnce = node.settings().storeLoadsAtOnce();
+    return info == null ? 0 : chooser.readyInMs(service, info, atOnce, node.now());
+  }
+
   /**
    * Takes a want at an endpoint.
    *
@@ -128,6 +135,12 @@
       }
       book.want(model, adapter, node.now());
       step(e.get(), book);
+    } else if (e.isPresent() && e.get().entry().domain().equals(node.settings().domain())) {
+      // The sender's knowledge of this failure domain's group is older than this VM's.
+      owners
+          .holder(endpoint, node.settings().domain())
+          .filter(h -> !h.equals(network.self()))
+          .ifPresent(h -> network.send(h, new PeerMessage.Want(endpoint, model, adapter)));
     }
   }
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Owners.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Owners.java
@@ -24,7 +24,7 @@
   private static final long TTL_MS = 3_000;
 
   /** Time between questions for the members of all groups, in ms. */
-  private static final long OWNERS_MS = 10_000;
+  private static final long OWNERS_MS = 15_000;
 
   /** Time between questions until all groups have answered once, in ms. */
   private static final long FIRST_OWNERS_MS = 1_500;
@@ -118,7 +118,7 @@
                       .field("held", j.partitions().size())
                       .field("held_before", before)
                       .write();
-                  askedMs = Long.MIN_VALUE / 2;
+                  askOwners(node.settings().domain());
                 }
               });
         });
@@ -126,22 +126,24 @@
 
   private void askOwners() {
     askedMs = node.now();
-    for (String domain : node.settings().domains()) {
-      store.owners(
-          group(domain),
-          answer ->
-              answer.ifPresent(
-                  rows -> {
-                    members.put(domain, rows);
-                    Set<String> addresses = new HashSet<>();
-                    rows.values().removeIf(String::isBlank);
-                    rows.values().forEach(m -> addresses.add(address(m)));
-                    peers.members(addresses);
-                    if (members.size() >= node.settings().domains().size()) {
-                      quotas.membersKnown();
-                    }
-                  }));
-    }
+    node.settings().domains().forEach(this::askOwners);
+  }
+
+  private void askOwners(String domain) {
+    store.owners(
+        group(domain),
+        answer ->
+            answer.ifPresent(
+                rows -> {
+                  members.put(domain, rows);
+                  Set<String> addresses = new HashSet<>();
+                  rows.values().removeIf(String::isBlank);
+                  rows.values().forEach(m -> addresses.add(address(m)));
+                  peers.members(addresses);
+                  if (members.size() >= node.settings().domains().size()) {
+                    quotas.membersKnown();
+                  }
+                }));
   }
 
   /**
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 
 /** Requests that wait until an endpoint holds their model or adapter. */
@@ -24,6 +25,11 @@
 
   private final NodeContext node;
   private final ModelSource orders;
+
+  /** Spread of the times at which refused requests come back, in ms; about one load from disk. */
+  private static final int SPREAD_MS = 400;
+
+  private final Random random = new Random();
   private final Map<Key, Queue> queues = new LinkedHashMap<>();
   private int waiting;
 
@@ -65,6 +71,11 @@
     q.waiters.add(waiter);
     waiting++;
     ask(key, q);
+    long ready = orders.readyInMs(waiter.service(), waiter.model());
+    if (node.now() + ready > waiter.deadlineMs()) {
+      leave(waiter);
+      waiter.refuse(ready + random.nextInt(SPREAD_MS));
+    }
   }
 
   /**
@@ -76,9 +87,6 @@
     Queue q = queues.get(key(waiter));
     if (q != null && q.waiters.remove(waiter)) {
       waiting--;
-      if (q.waiters.isEmpty()) {
-        queues.remove(key(waiter));
-      }
     }
   }
 
@@ -87,6 +95,8 @@
     for (Map.Entry<Key, Queue> e : List.copyOf(queues.entrySet())) {
       if (held(e.getKey())) {
         release(e.getKey());
+      } else if (e.getValue().waiters.isEmpty()) {
+        queues.remove(e.getKey());
       } else {
         ask(e.getKey(), e.getValue());
       }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Waiter.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Waiter.java
@@ -25,7 +25,7 @@
   String adapter();
 
   /**
-   * Returns when the caller stops waiting.
+   * Returns when the caller stops waiting for the first byte.
    *
    * @return time in ms
    */
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/WaitRoomTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/WaitRoomTests.java
@@ -1,6 +1,7 @@
 package io.kumquatspindle.node.order;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
@@ -64,6 +65,22 @@
     assertEquals(0, room.waiting());
   }
 
+  @Test
+  @DisplayName("refuses at once, with the time to come back, what will not be ready in time")
+  void tooLate() {
+    configure();
+    NoSource source = new NoSource();
+    source.readyInMs = 6_000;
+    room = new WaitRoom(node, source);
+    CountingWaiter waiter = new CountingWaiter("m1");
+    waiter.deadlineMs = 3_000;
+    room.enter(waiter);
+
+    assertEquals(1, waiter.refused);
+    assertTrue(waiter.retryAfterMs >= 6_000, "comes back after " + waiter.retryAfterMs);
+    assertEquals(0, room.waiting());
+  }
+
   private void configure() {
     ModelInfo info = new ModelInfo("m1", 1, 6_000, 1_000, 500, 1, 0);
     EngineInfo engine = new EngineInfo(8, 1_000, 10, 2, 1, Map.of("m1", info, "m2", info));
@@ -93,6 +110,13 @@
   }
 
   private static final class NoSource implements ModelSource {
+    private long readyInMs;
+
+    @Override
+    public long readyInMs(String service, String model) {
+      return readyInMs;
+    }
+
     @Override
     public void want(String service, String model, String adapter, Set<String> asked) {}
 
@@ -104,6 +128,8 @@
     private final String model;
     private int proceeded;
     private int refused;
+    private long deadlineMs = Long.MAX_VALUE;
+    private long retryAfterMs;
 
     private CountingWaiter(String model) {
       this.model = model;
@@ -126,7 +152,7 @@
 
     @Override
     public long deadlineMs() {
-      return Long.MAX_VALUE;
+      return deadlineMs;
     }
 
     @Override
@@ -138,6 +164,7 @@
     @Override
     public void refuse(long retryAfterMs) {
       refused++;
+      this.retryAfterMs = retryAfterMs;
     }
   }
 }
