Place models where room can be made, and learn holders from digests

The choice now adds up what must be evicted, an endpoint asked twice in vain is passed over, and digests carry the partitions that each VM holds.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderLease.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderLease.java
@@ -107,6 +107,27 @@
     return generation;
   }
 
+  /**
+   * Returns the partitions that this VM holds.
+   *
+   * @return partitions
+   */
+  public Set<Integer> held() {
+    return Set.copyOf(since.keySet());
+  }
+
+  /**
+   * Takes what another VM of the group holds; what it holds by a later generation is not held here.
+   *
+   * @param otherGeneration generation of the other VM
+   * @param partitions partitions that it holds
+   */
+  public void othersHold(long otherGeneration, Set<Integer> partitions) {
+    if (otherGeneration > generation) {
+      since.keySet().removeAll(partitions);
+    }
+  }
+
   public int size() {
     return since.size();
   }
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
@@ -4,6 +4,10 @@
 import io.kumquatspindle.api.fleet.EngineInfo;
 import io.kumquatspindle.api.fleet.ModelInfo;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -24,6 +28,9 @@
   /** What an endpoint that is avoided adds, in ms. */
   private static final double AVOIDED_MS = 30_000;
 
+  /** What a model adds whose requests an eviction would have to wait for, in ms. */
+  private static final double IN_USE_MS = 1_500;
+
   /** Time for which a model that was just loaded is in use and keeps its place, in ms. */
   private static final long JUST_LOADED_MS = 1_000;
 
@@ -33,6 +40,7 @@
   private final EndpointTable endpoints;
   private final ModelDemand demand;
   private final LoadBoard loads;
+  private final RunningBoard running;
 
   /**
    * Creates a chooser.
@@ -40,11 +48,14 @@
    * @param endpoints known endpoints
    * @param demand demand for models
    * @param loads loads in progress
+   * @param running requests in progress
    */
-  public PlacementChooser(EndpointTable endpoints, ModelDemand demand, LoadBoard loads) {
+  public PlacementChooser(
+      EndpointTable endpoints, ModelDemand demand, LoadBoard loads, RunningBoard running) {
     this.endpoints = endpoints;
     this.demand = demand;
     this.loads = loads;
+    this.running = running;
   }
 
   /**
@@ -171,15 +182,28 @@
     return entry.onDisk().contains(model.name()) ? model.diskMs() : model.storeMs();
   }
 
+  /** Adds up what must be evicted until the model fits, cheapest first. */
   private double evictionMs(Endpoint e, EngineInfo engine, ModelInfo model, long now) {
+    String service = e.entry().service();
     double free = engine.weightsMb();
-    double least = Double.MAX_VALUE;
+    Map<String, Double> costs = new HashMap<>();
     for (String m : e.models(now)) {
       ModelInfo info = engine.models().get(m);
       free -= info == null ? 0 : info.weightsMb();
-      least = Math.min(least, keepValue(e.entry().service(), m, now));
+      double inUse = running.runs(e.id(), m, now) ? IN_USE_MS : 0;
+      costs.put(m, inUse + EVICTION_MS * keepValue(service, m, now));
+    }
+    double ms = 0;
+    List<String> cheapest =
+        costs.keySet().stream().sorted(Comparator.comparingDouble(costs::get)).toList();
+    for (String m : cheapest) {
+      if (free >= model.weightsMb()) {
+        break;
+      }
+      free += engine.models().containsKey(m) ? engine.models().get(m).weightsMb() : 0;
+      ms += costs.get(m);
     }
-    return free >= model.weightsMb() || least == Double.MAX_VALUE ? 0 : EVICTION_MS * least;
+    return ms;
   }
 
   /**
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/OrderLeaseTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/OrderLeaseTests.java
@@ -50,6 +50,18 @@
     assertEquals(4, lease.fence());
   }
 
+  @Test
+  @DisplayName("gives up what another VM holds by a later generation, and only that")
+  void othersHold() {
+    fenced.renewed(0, 0, 3, Set.of(5, 6), 0);
+    fenced.othersHold(2, Set.of(5));
+    assertTrue(fenced.mayOrder(5, 4_000, 4_000));
+
+    fenced.othersHold(4, Set.of(5));
+    assertFalse(fenced.mayOrder(5, 4_000, 4_000));
+    assertTrue(fenced.mayOrder(6, 4_000, 4_000));
+  }
+
   @Nested
   @DisplayName("when renewals fail")
   class Expiry {
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementReplayTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementReplayTests.java
@@ -18,7 +18,8 @@
   private final EndpointTable endpoints = new EndpointTable();
   private final ModelDemand demand = new ModelDemand();
   private final LoadBoard loads = new LoadBoard();
-  private final PlacementChooser chooser = new PlacementChooser(endpoints, demand, loads);
+  private final RunningBoard running = new RunningBoard();
+  private final PlacementChooser chooser = new PlacementChooser(endpoints, demand, loads, running);
 
   @BeforeEach
   void endpoints() {
@@ -55,6 +56,17 @@
     assertEquals("e3", choose("n", 0).orElseThrow().id());
   }
 
+  @Test
+  @DisplayName(
+      "leaves an endpoint alone whose models are all in demand, though its disk has a copy")
+  void noRoomBesideDemand() {
+    for (int i = 0; i < 200; i++) {
+      demand.add("a", 1, 0);
+      demand.add("b", 1, 0);
+    }
+    assertNotEquals("e1", choose("m", 0).orElseThrow().id());
+  }
+
   @Test
   @DisplayName("joins a load that is in progress instead of beginning a second one")
   void joinsLoad() {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -153,7 +153,7 @@
     endpoints.read();
     every(GROUP_TICK_MS, this::groupTick);
     every(TICK_MS, this::tick);
-    every(Peers.DIGEST_MS, quotas::tell);
+    every(Peers.DIGEST_MS, () -> quotas.tell(owners.fence(), owners.held()));
     every(SPREAD_MS, orders::spread);
     every(SPREAD_MS, orders::prefetch);
   }
@@ -210,6 +210,7 @@
     if (message instanceof PeerMessage.Digest d) {
       peers.heard(d);
       quotas.heard(d);
+      owners.heard(d);
       long version = node.configuration().map(FleetConfiguration::version).orElse(0L);
       if (d.configuration() > version) {
         configurations.read();
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/ModelSource.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/ModelSource.java
@@ -1,7 +1,7 @@
 package io.kumquatspindle.node.order;
 
 import io.kumquatspindle.engine.fleet.Endpoint;
-import java.util.Set;
+import java.util.Map;
 
 /** Gets models and adapters loaded where they are wanted. */
 public interface ModelSource {
@@ -12,9 +12,9 @@
    * @param service name of the service
    * @param model name of the model
    * @param adapter name of the adapter, or empty text
-   * @param asked endpoints that were asked before and did not help; the choice is added
+   * @param asked how often endpoints were asked before; the choice is counted
    */
-  void want(String service, String model, String adapter, Set<String> asked);
+  void want(String service, String model, String adapter, Map<String, Integer> asked);
 
   /**
    * Predicts when a model will be held, if it is wanted now.
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -24,6 +24,9 @@
 
 /** Gives orders to the endpoints that this VM holds, and tells other VMs what is wanted there. */
 public final class OrderController implements ModelSource {
+  /** Times that one endpoint is asked for a model before another is. */
+  private static final int MOST_ASKED = 2;
+
   /** Age after which a want is forgotten unless it is told again, in ms. */
   private static final long WANT_VALID_MS = 3_000;
 
@@ -63,7 +66,7 @@
     this.peers = peers;
     this.network = network;
     this.engines = engines;
-    this.chooser = new PlacementChooser(node.endpoints(), node.demand(), loads);
+    this.chooser = new PlacementChooser(node.endpoints(), node.demand(), loads, node.running());
     this.prefetch = new Prefetch(node.endpoints(), node.demand(), loads);
     this.sent = node.metrics().counter("orders_total");
   }
@@ -78,7 +81,7 @@
   }
 
   @Override
-  public void want(String service, String model, String adapter, Set<String> asked) {
+  public void want(String service, String model, String adapter, Map<String, Integer> asked) {
     Optional<EngineInfo> engine = engine(service);
     if (engine.isEmpty()) {
       return;
@@ -86,12 +89,13 @@
     long now = node.now();
     String domain = node.settings().domain();
     Optional<Endpoint> chosen =
-        chooser.choose(service, engine.get(), model, adapter, domain, Set.of(), now);
+        chooser.choose(
+            service, engine.get(), model, adapter, domain, without(asked, model, now), now);
     if (chosen.isEmpty()) {
       return;
     }
     Endpoint e = chosen.get();
-    asked.add(e.id());
+    int times = asked.merge(e.id(), 1, Integer::sum);
     String its = e.entry().domain();
     if (owners.holds(e.id(), its)) {
       onWant(e.id(), model, adapter);
@@ -105,7 +109,25 @@
         .field("adapter", adapter)
         .field("holder", holder.orElse(""))
         .write();
-    holder.ifPresent(h -> network.send(h, new PeerMessage.Want(e.id(), model, adapter)));
+    PeerMessage.Want want = new PeerMessage.Want(e.id(), model, adapter);
+    if (times == 1 && holder.isPresent()) {
+      network.send(holder.get(), want);
+    } else {
+      peers.inDomain(its).forEach(a -> network.send(a, want));
+    }
+  }
+
+  /** Returns the endpoints that were asked in vain and are not loading the model either. */
+  private Set<String> without(Map<String, Integer> asked, String model, long now) {
+    Set<String> vain = new HashSet<>();
+    asked.forEach(
+        (id, times) -> {
+          boolean loading = loads.at(id, now).filter(l -> l.model().equals(model)).isPresent();
+          if (times >= MOST_ASKED && !loading) {
+            vain.add(id);
+          }
+        });
+    return vain;
   }
 
   @Override
@@ -135,12 +157,6 @@
       }
       book.want(model, adapter, node.now());
       step(e.get(), book);
-    } else if (e.isPresent() && e.get().entry().domain().equals(node.settings().domain())) {
-      // The sender's knowledge of this failure domain's group is older than this VM's.
-      owners
-          .holder(endpoint, node.settings().domain())
-          .filter(h -> !h.equals(network.self()))
-          .ifPresent(h -> network.send(h, new PeerMessage.Want(endpoint, model, adapter)));
     }
   }
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Owners.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Owners.java
@@ -3,6 +3,7 @@
 import io.kumquatspindle.engine.fleet.Hashes;
 import io.kumquatspindle.engine.fleet.OrderLease;
 import io.kumquatspindle.node.NodeContext;
+import io.kumquatspindle.node.peer.PeerMessage;
 import io.kumquatspindle.node.peer.Peers;
 import io.kumquatspindle.node.peer.QuotaController;
 import io.kumquatspindle.node.port.RecordStore;
@@ -24,7 +25,7 @@
   private static final long TTL_MS = 3_000;
 
   /** Time between questions for the members of all groups, in ms. */
-  private static final long OWNERS_MS = 15_000;
+  private static final long OWNERS_MS = 30_000;
 
   /** Time between questions until all groups have answered once, in ms. */
   private static final long FIRST_OWNERS_MS = 1_500;
@@ -39,6 +40,8 @@
   private final OrderLease lease;
   private final String member;
   private final Map<String, Map<Integer, String>> members = new HashMap<>();
+  private final Map<String, Map<Integer, Long>> holderFences = new HashMap<>();
+  private final Set<String> answered = new HashSet<>();
   private final long ttlMs;
   private long askedMs = Long.MIN_VALUE / 2;
   private long joinedMs = Long.MIN_VALUE / 2;
@@ -90,7 +93,7 @@
     if (now - joinedMs >= JOIN_MS) {
       join(now, wall);
     }
-    boolean all = members.size() >= node.settings().domains().size();
+    boolean all = answered.size() >= node.settings().domains().size();
     if (now - askedMs >= (all ? OWNERS_MS : FIRST_OWNERS_MS)) {
       askOwners();
     }
@@ -135,12 +138,13 @@
         answer ->
             answer.ifPresent(
                 rows -> {
-                  members.put(domain, rows);
+                  answered.add(domain);
+                  members.computeIfAbsent(domain, d -> new HashMap<>()).putAll(rows);
                   Set<String> addresses = new HashSet<>();
                   rows.values().removeIf(String::isBlank);
                   rows.values().forEach(m -> addresses.add(address(m)));
                   peers.members(addresses);
-                  if (members.size() >= node.settings().domains().size()) {
+                  if (answered.size() >= node.settings().domains().size()) {
                     quotas.membersKnown();
                   }
                 }));
@@ -201,6 +205,34 @@
     joinedMs = Long.MIN_VALUE / 2;
   }
 
+  /**
+   * Returns the partitions that this VM holds.
+   *
+   * @return partitions
+   */
+  public Set<Integer> held() {
+    return lease.held();
+  }
+
+  /**
+   * Takes what another VM holds, which is newer than what the store was asked for.
+   *
+   * @param digest the other VM's digest
+   */
+  public void heard(PeerMessage.Digest digest) {
+    if (digest.domain().equals(node.settings().domain())) {
+      lease.othersHold(digest.fence(), digest.partitions());
+    }
+    Map<Integer, Long> fences = holderFences.computeIfAbsent(digest.domain(), d -> new HashMap<>());
+    Map<Integer, String> holders = members.computeIfAbsent(digest.domain(), d -> new HashMap<>());
+    for (int p : digest.partitions()) {
+      if (digest.fence() >= fences.getOrDefault(p, 0L)) {
+        fences.put(p, digest.fence());
+        holders.put(p, digest.address());
+      }
+    }
+  }
+
   /**
    * Returns the fencing number of this VM.
    *
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
@@ -4,13 +4,12 @@
 import io.kumquatspindle.engine.fleet.Endpoint;
 import io.kumquatspindle.node.NodeContext;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 
 /** Requests that wait until an endpoint holds their model or adapter. */
 public final class WaitRoom {
@@ -37,7 +36,7 @@
 
   private static final class Queue {
     private final List<Waiter> waiters = new ArrayList<>();
-    private final Set<String> asked = new HashSet<>();
+    private final Map<String, Integer> asked = new HashMap<>();
     private long askedMs = Long.MIN_VALUE / 2;
   }
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerCodec.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerCodec.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -31,6 +33,10 @@
         for (Map.Entry<String, Integer> e : d.running().entrySet()) {
           p.packString(e.getKey()).packInt(e.getValue());
         }
+        p.packLong(d.fence()).packArrayHeader(d.partitions().size());
+        for (int partition : d.partitions()) {
+          p.packInt(partition);
+        }
       } else if (message instanceof PeerMessage.Want w) {
         p.packInt(WANT).packString(w.endpoint()).packString(w.model()).packString(w.adapter());
       } else if (message instanceof PeerMessage.Changed c) {
@@ -71,8 +77,22 @@
     for (int n = u.unpackMapHeader(); n > 0; n--) {
       running.put(u.unpackString(), u.unpackInt());
     }
+    long fence = u.unpackLong();
+    Set<Integer> partitions = new HashSet<>();
+    for (int n = u.unpackArrayHeader(); n > 0; n--) {
+      partitions.add(u.unpackInt());
+    }
     return new PeerMessage.Digest(
-        process, address, domain, configuration, deaf, consumed, models, running);
+        process,
+        address,
+        domain,
+        configuration,
+        deaf,
+        consumed,
+        models,
+        running,
+        fence,
+        partitions);
   }
 
   private static PeerMessage changed(MessageUnpacker u) throws IOException {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerMessage.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerMessage.java
@@ -1,6 +1,7 @@
 package io.kumquatspindle.node.peer;
 
 import java.util.Map;
+import java.util.Set;
 
 /** A message between two VMs. */
 public sealed interface PeerMessage {
@@ -16,6 +17,8 @@
    * @param consumed consumption of customers by the sender since its start
    * @param models requests for models that the sender has read since its last digest
    * @param running requests of the sender in progress, by endpoint, model and adapter
+   * @param fence fencing number of the sender's orders
+   * @param partitions partitions of its failure domain's endpoints that the sender holds
    */
   record Digest(
       long process,
@@ -25,7 +28,9 @@
       boolean deaf,
       Map<String, Double> consumed,
       Map<String, Long> models,
-      Map<String, Integer> running)
+      Map<String, Integer> running,
+      long fence,
+      Set<Integer> partitions)
       implements PeerMessage {}
 
   /**
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
@@ -119,6 +119,16 @@
     return List.copyOf(byAddress.keySet());
   }
 
+  /**
+   * Returns the peers of a failure domain.
+   *
+   * @param domain name of the failure domain
+   * @return addresses
+   */
+  public List<String> inDomain(String domain) {
+    return addresses().stream().filter(a -> byAddress.get(a).domain.equals(domain)).toList();
+  }
+
   /**
    * Sends a message to all peers.
    *
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
@@ -6,6 +6,7 @@
 import io.kumquatspindle.node.NodeContext;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /** Customers' rates over all VMs, and the digests that carry what was consumed. */
 public final class QuotaController {
@@ -140,8 +141,13 @@
     byCustomer.values().forEach(FleetQuota::suspended);
   }
 
-  /** Sends a digest to all peers. */
-  public void tell() {
+  /**
+   * Sends a digest to all peers.
+   *
+   * @param fence fencing number of this VM's orders
+   * @param partitions partitions that this VM holds
+   */
+  public void tell(long fence, Set<Integer> partitions) {
     Map<String, Double> consumed = new HashMap<>();
     byCustomer.forEach((name, q) -> consumed.put(name, q.consumed()));
     Map<String, Long> models = Map.copyOf(modelUses);
@@ -156,7 +162,16 @@
           .send(
               a,
               new PeerMessage.Digest(
-                  process, self, domain, version, deaf, consumed, models, node.running().own()));
+                  process,
+                  self,
+                  domain,
+                  version,
+                  deaf,
+                  consumed,
+                  models,
+                  node.running().own(),
+                  fence,
+                  partitions));
     }
   }
 
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/WaitRoomTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/WaitRoomTests.java
@@ -118,7 +118,7 @@
     }
 
     @Override
-    public void want(String service, String model, String adapter, Set<String> asked) {}
+    public void want(String service, String model, String adapter, Map<String, Integer> asked) {}
 
     @Override
     public void used(Endpoint endpoint, String model, String adapter) {}
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeerCodecTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeerCodecTests.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
@@ -24,7 +25,9 @@
             true,
             Map.of("c", 1.5),
             Map.of("m", 3L),
-            Map.of("k", 2)),
+            Map.of("k", 2),
+            4,
+            Set.of(1, 31)),
         new PeerMessage.Want("e", "m", "a1"),
         new PeerMessage.Changed("e", "m", "", PeerMessage.Changed.Kind.LOADING, true, 6_000));
   }
