--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/ModelDemand.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/ModelDemand.java
@@ -36,15 +36,12 @@
   }
 
   /**
-   * Returns how long ago a model was last wanted.
+   * Tells whether any model was wanted yet.
    *
-   * @param model name of the model
-   * @param now present time, in ms
-   * @return age in ms; {@link Long#MAX_VALUE} if never
+   * @return whether there was any demand
    */
-  public long idleMs(String model, long now) {
-    Count c = counts.get(model);
-    return c == null ? Long.MAX_VALUE : now - c.atMs;
+  public boolean any() {
+    return !counts.isEmpty();
   }
 
   private static final class Count {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -24,9 +24,6 @@
 
 /** Gives orders to the endpoints that this VM holds, and tells other VMs what is wanted there. */
 public final class OrderController implements ModelSource {
-  /** Times that one endpoint is asked for a model before another is. */
-  private static final int MOST_ASKED = 2;
-
   /** Age after which a want is forgotten unless it is told again, in ms. */
   private static final long WANT_VALID_MS = 3_000;
 
@@ -89,8 +86,7 @@
     long now = node.now();
     String domain = node.settings().domain();
     Optional<Endpoint> chosen =
-        chooser.choose(
-            service, engine.get(), model, adapter, domain, without(asked, model, now), now);
+        chooser.choose(service, engine.get(), model, adapter, domain, Set.of(), now);
     if (chosen.isEmpty()) {
       return;
     }
@@ -117,19 +113,6 @@
     }
   }
 
-  /** Returns the endpoints that were asked in vain and are not loading the model either. */
-  private Set<String> without(Map<String, Integer> asked, String model, long now) {
-    Set<String> vain = new HashSet<>();
-    asked.forEach(
-        (id, times) -> {
-          boolean loading = loads.at(id, now).filter(l -> l.model().equals(model)).isPresent();
-          if (times >= MOST_ASKED && !loading) {
-            vain.add(id);
-          }
-        });
-    return vain;
-  }
-
   @Override
   public long readyInMs(String service, String model) {
     ModelInfo info = engine(service).map(e -> e.models().get(model)).orElse(null);
@@ -225,7 +208,10 @@
       if (engine.isEmpty() || !own || e.entry().leaving()) {
         continue;
       }
-      if (loads.fromStore(now) >= node.settings().storeLoadsAtOnce()) {
+      // A load keeps its endpoint from all other orders for seconds; few may once there are
+      // callers.
+      int most = node.demand().any() ? 1 : node.settings().storeLoadsAtOnce();
+      if (loads.fromStore(now) >= most) {
         return;
       }
       OrderBook book = book(e);
