Free the weight store's room of loads at endpoints that are gone

Ruled out: partitions (held since before) and room at the endpoint. Loads of unknown endpoints are dropped, and a model in demand may exceed the four.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
@@ -97,6 +97,15 @@
     return Optional.ofNullable(byId.get(id));
   }
 
+  /**
+   * Returns the identities of the known endpoints.
+   *
+   * @return identities
+   */
+  public Set<String> ids() {
+    return Set.copyOf(byId.keySet());
+  }
+
   public Collection<Endpoint> all() {
     return byId.values();
   }
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/LoadBoard.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/LoadBoard.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** Loads in progress at all endpoints, as their holders tell. One owner thread. */
 public final class LoadBoard {
@@ -42,6 +43,16 @@
     endedMs.put(endpoint, now);
   }
 
+  /**
+   * Forgets the loads of endpoints that are gone, so that they do not take the weight store's room.
+   *
+   * @param known identities of the endpoints that are there
+   */
+  public void retain(Set<String> known) {
+    byEndpoint.keySet().retainAll(known);
+    endedMs.keySet().retainAll(known);
+  }
+
   /**
    * Returns how long ago the last load ended.
    *
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementReplayTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementReplayTests.java
@@ -103,6 +103,16 @@
     return chosen;
   }
 
+  @Test
+  @DisplayName("does not count loads of endpoints that are gone as loads from the weight store")
+  void lostLoads() {
+    loads.begin("e1", new LoadBoard.Load("n", true, 6_000));
+    loads.begin("gone", new LoadBoard.Load("m", true, 6_000));
+    loads.retain(endpoints.ids());
+
+    assertEquals(1, loads.fromStore(100));
+  }
+
   @Test
   @DisplayName("keeps a session at one endpoint until that is far busier than the others")
   void affinity() {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -167,6 +167,7 @@
   public void tick() {
     long now = node.now();
     books.keySet().removeIf(id -> forgotten(id));
+    loads.retain(node.endpoints().ids());
     for (Map.Entry<String, OrderBook> b : List.copyOf(books.entrySet())) {
       b.getValue().forgetWantsBefore(now - WANT_VALID_MS);
       node.endpoints().find(b.getKey()).ifPresent(e -> step(e, b.getValue()));
@@ -367,7 +368,9 @@
     public boolean mayLoad(String model) {
       ModelInfo m = engine.models().get(model);
       boolean store = loadMs(model) == m.storeMs();
-      return !store || loads.fromStore(node.now()) < node.settings().storeLoadsAtOnce();
+      // A model that many callers ask for does not wait behind those that one asked for.
+      int share = node.demand().rate(model, node.now()) >= HOT_PER_S ? 2 : 1;
+      return !store || loads.fromStore(node.now()) < share * node.settings().storeLoadsAtOnce();
     }
 
     @Override
