Count VMs that a group names, however long they are silent

Peers are now kept as long as the newest list of their group names them. PeersTests.cutOff guards it.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Owners.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Owners.java
@@ -143,7 +143,7 @@
                   Set<String> addresses = new HashSet<>();
                   rows.values().removeIf(String::isBlank);
                   rows.values().forEach(m -> addresses.add(address(m)));
-                  peers.members(addresses);
+                  peers.members(domain, addresses);
                   if (answered.size() >= node.settings().domains().size()) {
                     quotas.membersKnown();
                   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
@@ -25,10 +25,10 @@
   private final NodeContext node;
   private final PeerNetwork network;
   private final Map<String, Peer> byAddress = new HashMap<>();
+  private final Map<String, Set<String>> named = new HashMap<>();
 
   private static final class Peer {
     private long heardMs = Long.MIN_VALUE / 2;
-    private long knownMs;
     private String domain = "";
   }
 
@@ -44,11 +44,13 @@
   }
 
   /**
-   * Takes the members that the groups name.
+   * Takes the members that the group of a failure domain names, in place of those before.
    *
+   * @param domain the failure domain
    * @param addresses addresses for peers
    */
-  public void members(Set<String> addresses) {
+  public void members(String domain, Set<String> addresses) {
+    named.put(domain, Set.copyOf(addresses));
     addresses.stream().filter(a -> !a.equals(network.self())).forEach(a -> known(a));
   }
 
@@ -59,7 +61,6 @@
       byAddress.put(address, p);
       node.log().line("peer_known").field("peer", address).write();
     }
-    p.knownMs = node.now();
     return p;
   }
 
@@ -115,7 +116,10 @@
    */
   public List<String> addresses() {
     long now = node.now();
-    byAddress.values().removeIf(p -> now - p.knownMs > FORGET_MS && now - p.heardMs > FORGET_MS);
+    // A VM that its group still names may be cut off and spending its share.
+    byAddress
+        .entrySet()
+        .removeIf(e -> !named(e.getKey()) && now - e.getValue().heardMs > FORGET_MS);
     return List.copyOf(byAddress.keySet());
   }
 
@@ -129,6 +133,10 @@
     return addresses().stream().filter(a -> byAddress.get(a).domain.equals(domain)).toList();
   }
 
+  private boolean named(String address) {
+    return named.values().stream().anyMatch(n -> n.contains(address));
+  }
+
   /**
    * Sends a message to all peers.
    *
--- /dev/null
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeersTests.java
@@ -0,0 +1,72 @@
+package io.kumquatspindle.node.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import io.kumquatspindle.node.NodeContext;
+import io.kumquatspindle.node.NodeSettings;
+import io.kumquatspindle.node.observe.EventLog;
+import java.io.OutputStream;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("Other VMs")
+class PeersTests {
+  private static final String SELF = "10.0.0.1:7600";
+  private static final String OTHER = "10.0.0.2:7600";
+
+  private final AtomicLong now = new AtomicLong(1_000);
+  private final NodeContext node =
+      new NodeContext(
+          new NodeSettings(
+              "vm",
+              "10.0.0.1",
+              "west",
+              List.of("west"),
+              true,
+              1,
+              2,
+              7600,
+              0,
+              "10.0.0.9",
+              80,
+              8,
+              1_000,
+              true,
+              3_000,
+              10_000,
+              0.2,
+              50,
+              8_000,
+              4),
+          null,
+          now::get,
+          new EventLog(OutputStream.nullOutputStream(), now::get, "vm", new Counter()),
+          new MetricRegistry());
+  private final Peers peers = new Peers(node, new PeerNetwork(node, m -> {}));
+
+  @Test
+  @DisplayName("keep their share of a rate however long they are silent, while a group names them")
+  void cutOff() {
+    peers.members("west", Set.of(SELF, OTHER));
+    now.addAndGet(12_000);
+
+    assertEquals(List.of(OTHER), peers.addresses());
+    assertEquals(0.5, peers.audibleShare());
+  }
+
+  @Test
+  @DisplayName("are forgotten when no group names them and they have not been heard")
+  void gone() {
+    peers.members("west", Set.of(SELF, OTHER));
+    peers.members("west", Set.of(SELF));
+    now.addAndGet(12_000);
+
+    assertEquals(List.of(), peers.addresses());
+    assertEquals(1, peers.audibleShare());
+  }
+}
