Let VMs that join together learn of each other

VMs that started at the same moment asked for the members before partitions had been dealt, and asked other failure domains again only after 30 s.

Ruled out: second sends (6,213 of 640,765 tokens charged), refunds, lost or late digests (each known peer was heard every 200 ms).

Change: a VM that gets its first partitions asks all groups again until each has answered; digests say how many VMs the sender hears, and a peer that hears more passes on the addresses of those. The log line of a send has the customer, the charge and the level.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -215,6 +215,8 @@
       if (d.configuration() > version) {
         configurations.read();
       }
+    } else if (message instanceof PeerMessage.Known k) {
+      peers.told(k);
     } else if (message instanceof PeerMessage.Want w) {
       orders.onWant(w.endpoint(), w.model(), w.adapter());
     } else if (message instanceof PeerMessage.Changed c) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Admission.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Admission.java
@@ -55,6 +55,16 @@
     }
   }
 
+  /** Returns what the request was charged; 0 if nothing. */
+  double charged() {
+    return charged;
+  }
+
+  /** Returns what is left of the customer's rate, as this VM sees it; 0 without a customer. */
+  long level() {
+    return customer.map(c -> (long) parts.quotas().level(c)).orElse(0L);
+  }
+
   /** Returns when a request that the rate did not allow should come back, in ms. */
   long waitMs(CallHead head) {
     return customer.map(c -> parts.quotas().waitMs(c, c.cost(head.tokens()))).orElse(0L);
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -151,6 +151,9 @@
         .field("address", endpoint.entry().address())
         .field("attempt", sends)
         .field("use_pct", (long) (100 * endpoint.use(now)))
+        .field("customer", admission.customerName().orElse(""))
+        .field("charged", (long) admission.charged())
+        .field("level", admission.level())
         .write();
     attempt = Optional.of(new Attempt(this, parts, endpoint, request, forward, answer));
     attempt.get().begin();
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Owners.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Owners.java
@@ -121,7 +121,14 @@
                       .field("held", j.partitions().size())
                       .field("held_before", before)
                       .write();
-                  askOwners(node.settings().domain());
+                  // A group names only members that hold partitions: VMs that joined at the same
+                  // time see each other only if both ask after they have got some.
+                  if (before == 0 && lease.size() > 0) {
+                    answered.clear();
+                    askOwners();
+                  } else {
+                    askOwners(node.settings().domain());
+                  }
                 }
               });
         });
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerCodec.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerCodec.java
@@ -14,6 +14,7 @@
   private static final int DIGEST = 1;
   private static final int WANT = 2;
   private static final int CHANGED = 3;
+  private static final int KNOWN = 4;
 
   private PeerCodec() {}
 
@@ -37,6 +38,12 @@
         for (int partition : d.partitions()) {
           p.packInt(partition);
         }
+        p.packInt(d.heard());
+      } else if (message instanceof PeerMessage.Known k) {
+        p.packInt(KNOWN).packArrayHeader(k.addresses().size());
+        for (String address : k.addresses()) {
+          p.packString(address);
+        }
       } else if (message instanceof PeerMessage.Want w) {
         p.packInt(WANT).packString(w.endpoint()).packString(w.model()).packString(w.adapter());
       } else if (message instanceof PeerMessage.Changed c) {
@@ -54,6 +61,7 @@
         case DIGEST -> digest(u);
         case WANT -> new PeerMessage.Want(u.unpackString(), u.unpackString(), u.unpackString());
         case CHANGED -> changed(u);
+        case KNOWN -> known(u);
         default -> throw new IOException("unknown kind of message: " + kind);
       };
     }
@@ -92,7 +100,16 @@
         models,
         running,
         fence,
-        partitions);
+        partitions,
+        u.unpackInt());
+  }
+
+  private static PeerMessage known(MessageUnpacker u) throws IOException {
+    Set<String> addresses = new HashSet<>();
+    for (int n = u.unpackArrayHeader(); n > 0; n--) {
+      addresses.add(u.unpackString());
+    }
+    return new PeerMessage.Known(addresses);
   }
 
   private static PeerMessage changed(MessageUnpacker u) throws IOException {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerMessage.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerMessage.java
@@ -19,6 +19,7 @@
    * @param running requests of the sender in progress, by endpoint, model and adapter
    * @param fence fencing number of the sender's orders
    * @param partitions partitions of its failure domain's endpoints that the sender holds
+   * @param heard number of VMs that the sender hears, itself included
    */
   record Digest(
       long process,
@@ -30,9 +31,17 @@
       Map<String, Long> models,
       Map<String, Integer> running,
       long fence,
-      Set<Integer> partitions)
+      Set<Integer> partitions,
+      int heard)
       implements PeerMessage {}
 
+  /**
+   * VMs that the sender hears, for a receiver that hears fewer.
+   *
+   * @param addresses their addresses for peers
+   */
+  record Known(Set<String> addresses) implements PeerMessage {}
+
   /**
    * A model or an adapter is wanted at an endpoint that the receiver orders.
    *
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
@@ -22,14 +22,27 @@
   /** Silence after which a peer that no group names is forgotten, in ms. */
   private static final long FORGET_MS = 10_000;
 
+  /** Least time between lists of VMs to the same peer, in ms; five digests. */
+  private static final long TELL_MS = 1_000;
+
   private final NodeContext node;
   private final PeerNetwork network;
   private final Map<String, Peer> byAddress = new HashMap<>();
   private final Map<String, Set<String>> named = new HashMap<>();
 
   private static final class Peer {
+    private final long sinceMs;
     private long heardMs = Long.MIN_VALUE / 2;
+    private long listSentMs = Long.MIN_VALUE / 2;
     private String domain = "";
+
+    private Peer(long sinceMs) {
+      this.sinceMs = sinceMs;
+    }
+
+    private long lastSignMs() {
+      return Math.max(sinceMs, heardMs);
+    }
   }
 
   /**
@@ -57,7 +70,7 @@
   private Peer known(String address) {
     Peer p = byAddress.get(address);
     if (p == null) {
-      p = new Peer();
+      p = new Peer(node.now());
       byAddress.put(address, p);
       node.log().line("peer_known").field("peer", address).write();
     }
@@ -80,6 +93,35 @@
     if (digest.deaf()) {
       network.reset(digest.address());
     }
+    if (now - p.listSentMs >= TELL_MS) {
+      Set<String> missing = missing(digest);
+      if (!missing.isEmpty()) {
+        p.listSentMs = now;
+        network.send(digest.address(), new PeerMessage.Known(missing));
+      }
+    }
+  }
+
+  /**
+   * Returns the VMs to tell the sender of a digest about. Only VMs that are heard are passed on, so
+   * that a VM that is gone is not passed on for ever.
+   */
+  Set<String> missing(PeerMessage.Digest digest) {
+    if (digest.heard() >= heardCount()) {
+      return Set.of();
+    }
+    Set<String> heard = new HashSet<>(byAddress.keySet());
+    heard.removeIf(a -> !audible(a) || a.equals(digest.address()));
+    return heard;
+  }
+
+  /**
+   * Takes the VMs that a peer hears.
+   *
+   * @param message the peer's list
+   */
+  public void told(PeerMessage.Known message) {
+    message.addresses().stream().filter(a -> !a.equals(network.self())).forEach(this::known);
   }
 
   /**
@@ -119,7 +161,7 @@
     // A VM that its group still names may be cut off and spending its share.
     byAddress
         .entrySet()
-        .removeIf(e -> !named(e.getKey()) && now - e.getValue().heardMs > FORGET_MS);
+        .removeIf(e -> !named(e.getKey()) && now - e.getValue().lastSignMs() > FORGET_MS);
     return List.copyOf(byAddress.keySet());
   }
 
@@ -161,8 +203,12 @@
    * @return share, more than 0, at most 1
    */
   public double audibleShare() {
-    long heard = byAddress.keySet().stream().filter(this::audible).count();
-    return (heard + 1.0) / vms();
+    return (double) heardCount() / vms();
+  }
+
+  /** Returns the number of VMs that this one hears, itself included. */
+  int heardCount() {
+    return 1 + (int) byAddress.keySet().stream().filter(this::audible).count();
   }
 
   PeerNetwork network() {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
@@ -92,6 +92,16 @@
         + share();
   }
 
+  /**
+   * Returns what is left of a customer's rate.
+   *
+   * @param customer the customer
+   * @return level in tokens; negative if there is a debt
+   */
+  public double level(CustomerInfo customer) {
+    return quota(customer).level();
+  }
+
   /**
    * Counts a request for a model, for the next digest.
    *
@@ -171,7 +181,8 @@
                   models,
                   node.running().own(),
                   fence,
-                  partitions));
+                  partitions,
+                  peers.heardCount()));
     }
   }
 
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeerCodecTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeerCodecTests.java
@@ -27,7 +27,9 @@
             Map.of("m", 3L),
             Map.of("k", 2),
             4,
-            Set.of(1, 31)),
+            Set.of(1, 31),
+            7),
+        new PeerMessage.Known(Set.of("10.0.0.1:7600", "10.0.0.2:7600")),
         new PeerMessage.Want("e", "m", "a1"),
         new PeerMessage.Changed("e", "m", "", PeerMessage.Changed.Kind.LOADING, true, 6_000));
   }
