Refuse a request whose tokens control cannot foresee instead of losing it

A request that had waited once added that to its waiting time; the sum overflowed to a negative number, passed the limit, and the next attempt was scheduled for Long.MAX_VALUE ms from then: never answered.

Ruled out: a blocked thread or event loop (stacks), the wait for models, the endpoints.

Change: the limit is compared without the sum; a caller is told at most 60 s. TokenAccountsTests: TimeoutException before, passes after.

--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccounts.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccounts.java
@@ -42,6 +42,9 @@
   // Told to a caller whose tokens control could not say anything about.
   private static final long RETRY_AFTER_MS = 1_000;
 
+  /** Longest time told to a caller, in ms; shares of the rate are dealt anew in less. */
+  static final long MAX_RETRY_AFTER_MS = 60_000;
+
   private static final Shortage NO_ANSWER = new Shortage(ASK_AGAIN_MS, true);
 
   private final ControlClient control;
@@ -85,11 +88,12 @@
 
   private void attemptLater(Wait wait, long waitedMs, Shortage s) {
     long most = Math.min(wait.limitMs(), s.unanswered() ? MAX_UNANSWERED_MS : MAX_SHORT_MS);
-    long waitMs = waitedMs + s.retryMs();
-    if (waitMs <= most) {
-      delayed(s.retryMs()).execute(() -> attempt(wait, waitMs));
+    // Control says Long.MAX_VALUE when it does not know a time, so the sum could overflow.
+    if (s.retryMs() <= most - waitedMs) {
+      delayed(s.retryMs()).execute(() -> attempt(wait, waitedMs + s.retryMs()));
     } else {
-      wait.result().complete(Optional.of(s.unanswered() ? RETRY_AFTER_MS : s.retryMs()));
+      long told = s.unanswered() ? RETRY_AFTER_MS : Math.min(s.retryMs(), MAX_RETRY_AFTER_MS);
+      wait.result().complete(Optional.of(told));
     }
   }
 
--- /dev/null
+++ b/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/control/TokenAccountsTests.java
@@ -0,0 +1,44 @@
+package io.kumquatspindle.entry.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.kumquatspindle.api.message.EntryMessage;
+import io.kumquatspindle.api.message.EntryMessage.TokenGrant;
+import io.kumquatspindle.api.message.EntryMessage.TokenRequest;
+import io.kumquatspindle.api.model.CustomerName;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("Token accounts")
+class TokenAccountsTests {
+  private static final CustomerName CUSTOMER = CustomerName.of("c");
+  private static final long FIRST_RETRY_MS = 20;
+
+  private final ArrayDeque<Long> retries = new ArrayDeque<>();
+  private final ControlSession session = new ControlSession(null, null, System::currentTimeMillis);
+  private final TokenAccounts accounts = new TokenAccounts(session, System::currentTimeMillis);
+
+  private boolean answer(EntryMessage message) {
+    if (message instanceof TokenRequest r) {
+      Thread answers =
+          new Thread(() -> session.received(new TokenGrant(r.id(), CUSTOMER, 0, retries.poll())));
+      answers.start();
+    }
+    return true;
+  }
+
+  @Test
+  @DisplayName("refuse a request that has waited when control no longer knows when tokens come")
+  void neverAnyTokens() throws Exception {
+    retries.addAll(List.of(FIRST_RETRY_MS, Long.MAX_VALUE));
+    session.connected(this::answer);
+
+    Optional<Long> retry = accounts.take(CUSTOMER, 10, 4_000).get(4, TimeUnit.SECONDS);
+
+    assertEquals(Optional.of(TokenAccounts.MAX_RETRY_AFTER_MS), retry);
+  }
+}
