--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
@@ -12,6 +12,9 @@
 
 /** What all parts of the program share; owned by the event loop's thread. */
 public final class NodeContext {
+  /** Time after a start in which the state is read, in ms; 0.3 s when the store is well. */
+  private static final long START_MS = 1_000;
+
   private final NodeSettings settings;
   private final EventLoop loop;
   private final MonotonicClock clock;
@@ -21,6 +24,8 @@
   private final ModelDemand demand = new ModelDemand();
   private final RunningBoard running = new RunningBoard();
   private Optional<FleetConfiguration> configuration = Optional.empty();
+  private final long startedMs;
+  private boolean endpointsRead;
   private boolean stopping;
 
   /**
@@ -43,6 +48,7 @@
     this.clock = clock;
     this.log = log;
     this.metrics = metrics;
+    this.startedMs = clock.nowMs();
   }
 
   public NodeSettings settings() {
@@ -94,6 +100,29 @@
     configuration = Optional.of(newer);
   }
 
+  /** Notes that the entries of all endpoints have been read. */
+  public void endpointsRead() {
+    endpointsRead = true;
+  }
+
+  /**
+   * Tells whether this VM knows enough to serve.
+   *
+   * @return whether configuration and endpoints have been read
+   */
+  public boolean known() {
+    return endpointsRead && configuration.isPresent();
+  }
+
+  /**
+   * Tells whether this VM has just started and may still be reading its state.
+   *
+   * @return whether what callers ask for may be known in a moment
+   */
+  public boolean starting() {
+    return !known() && now() - startedMs < START_MS;
+  }
+
   public boolean stopping() {
     return stopping;
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -202,7 +202,7 @@
   }
 
   private PageServer.Page readiness() {
-    boolean ready = state.known() && !node.stopping();
+    boolean ready = node.known() && !node.stopping();
     return new PageServer.Page(ready ? 200 : 503, ready ? "ready" : "not ready");
   }
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/FleetState.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/FleetState.java
@@ -17,7 +17,6 @@
   private final NodeContext node;
   private final RecordDecoder decoder;
   private final Consumer<FleetConfiguration> configured;
-  private boolean endpointsKnown;
 
   /**
    * Creates the keeper.
@@ -33,15 +32,6 @@
     this.configured = configured;
   }
 
-  /**
-   * Tells whether the VM knows enough to serve.
-   *
-   * @return whether configuration and endpoints have been read
-   */
-  public boolean known() {
-    return endpointsKnown && node.configuration().isPresent();
-  }
-
   /**
    * Returns what listens to the topic of configurations.
    *
@@ -102,7 +92,7 @@
         records.stream().filter(r -> r.value().isPresent()).forEach(r -> ids.add(r.key()));
         records.forEach(this::one);
         node.endpoints().retain(ids, node.now());
-        endpointsKnown = true;
+        node.endpointsRead();
       }
 
       @Override
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -53,6 +53,9 @@
 
   /** Begins; may answer at once. */
   void start() {
+    if (over) {
+      return;
+    }
     try {
       head = parts.headers().call(request);
     } catch (IllegalArgumentException e) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontHandler.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontHandler.java
@@ -18,6 +18,9 @@
 /** One caller's connection: its requests one after the other, and its end. */
 final class FrontHandler extends ChannelInboundHandlerAdapter {
   /** Requests that a caller may send ahead on one connection before it is read no further. */
+  /** Time between looks whether a program that has just started can serve, in ms. */
+  private static final long START_LOOK_MS = 20;
+
   private static final int MOST_AHEAD = 4;
 
   private final NodeContext node;
@@ -70,11 +73,11 @@
 
   private void begin(ChannelHandlerContext ctx, FullHttpRequest request) {
     if (request.decoderResult().isFailure()) {
-      boolean long0 = request.decoderResult().cause() instanceof TooLongFrameException;
+      boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
       request.release();
       refuse(
           ctx,
-          long0
+          tooLong
               ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
               : HttpResponseStatus.BAD_REQUEST);
       return;
@@ -82,7 +85,16 @@
     boolean close = node.stopping() || !HttpUtil.isKeepAlive(request);
     CallerChannel answer = new CallerChannel(ctx.channel(), close, () -> ended(ctx));
     current = exchanges.create(request, answer);
-    current.start();
+    startWhenKnown(current);
+  }
+
+  /** A caller that comes back right after a restart waits for the state rather than be refused. */
+  private void startWhenKnown(Exchange exchange) {
+    if (node.starting()) {
+      node.after(START_LOOK_MS, () -> startWhenKnown(exchange));
+    } else {
+      exchange.start();
+    }
   }
 
   private void refuse(ChannelHandlerContext ctx, HttpResponseStatus status) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/ModelSource.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/ModelSource.java
@@ -25,6 +25,15 @@
    */
   long readyInMs(String service, String model);
 
+  /**
+   * Tells whether a load of a model is under way.
+   *
+   * @param service name of the service
+   * @param model name of the model
+   * @return whether it is, as far as this VM knows
+   */
+  boolean loading(String service, String model);
+
   /**
    * Notes that a model is used at an endpoint.
    *
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -8,6 +8,7 @@
 import io.kumquatspindle.engine.fleet.Endpoint;
 import io.kumquatspindle.engine.fleet.LoadBoard;
 import io.kumquatspindle.engine.fleet.OrderBook;
+import io.kumquatspindle.engine.fleet.OrderContext;
 import io.kumquatspindle.engine.fleet.PlacementChooser;
 import io.kumquatspindle.engine.fleet.Prefetch;
 import io.kumquatspindle.node.NodeContext;
@@ -28,7 +29,7 @@
   private static final long WANT_VALID_MS = 3_000;
 
   /** Requests a second from which a model should have a copy in each failure domain. */
-  private static final double HOT_PER_S = 3;
+  static final double HOT_PER_S = 3;
 
   /** Requests a second that one copy serves well; an engine runs some tens at once. */
   private static final double COPY_PER_S = 15;
@@ -120,6 +121,13 @@
     return info == null ? 0 : chooser.readyInMs(service, info, atOnce, node.now());
   }
 
+  @Override
+  public boolean loading(String service, String model) {
+    long now = node.now();
+    return node.endpoints().of(service).stream()
+        .anyMatch(e -> loads.at(e.id(), now).filter(l -> l.model().equals(model)).isPresent());
+  }
+
   /**
    * Takes a want at an endpoint.
    *
@@ -250,7 +258,7 @@
     if (engine.isEmpty()) {
       return;
     }
-    Context context = new Context(e, book, engine.get());
+    OrderContext context = new EndpointContext(node, owners, chooser, loads, e, book, engine.get());
     Optional<OrderBook.Step> step = book.next(context, node.now());
     if (step.isEmpty()) {
       return;
@@ -275,7 +283,7 @@
   }
 
   private void onAnswer(
-      Endpoint e, OrderBook book, Context context, OrderBook.Step.Send s, OrderAnswer answer) {
+      Endpoint e, OrderBook book, OrderContext context, OrderBook.Step.Send s, OrderAnswer answer) {
     node.log()
         .line("order")
         .field("endpoint", e.id())
@@ -335,62 +343,4 @@
   private Optional<EngineInfo> engine(String service) {
     return node.configuration().flatMap(c -> c.service(service)).flatMap(s -> s.engine());
   }
-
-  private final class Context implements io.kumquatspindle.engine.fleet.OrderContext {
-    private final Endpoint endpoint;
-    private final OrderBook book;
-    private final EngineInfo engine;
-
-    private Context(Endpoint endpoint, OrderBook book, EngineInfo engine) {
-      this.endpoint = endpoint;
-      this.book = book;
-      this.engine = engine;
-    }
-
-    @Override
-    public EngineInfo engine() {
-      return engine;
-    }
-
-    @Override
-    public long fence() {
-      return owners.fence();
-    }
-
-    @Override
-    public long loadMs(String model) {
-      ModelInfo m = engine.models().get(model);
-      long ms = PlacementChooser.loadMs(endpoint.entry(), m);
-      return ms == m.storeMs() && book.heldBefore(model) ? m.memoryMs() : ms;
-    }
-
-    @Override
-    public boolean mayLoad(String model) {
-      ModelInfo m = engine.models().get(model);
-      boolean store = loadMs(model) == m.storeMs();
-      // A model that many callers ask for does not wait behind those that one asked for.
-      int share = node.demand().rate(model, node.now()) >= HOT_PER_S ? 2 : 1;
-      return !store || loads.fromStore(node.now()) < share * node.settings().storeLoadsAtOnce();
-    }
-
-    @Override
-    public double value(String model) {
-      long now = node.now();
-      int copies = chooser.copies(endpoint.entry().service(), model, now);
-      double rate = node.demand().rate(model, now);
-      return copies == 0 ? rate + 1 : rate / (copies + 1);
-    }
-
-    @Override
-    public double keepValue(String model) {
-      return chooser.keepValue(endpoint.entry().service(), model, node.now());
-    }
-
-    @Override
-    public boolean runs(String model, String adapter) {
-      return adapter.isEmpty()
-          ? node.running().runs(endpoint.id(), model, node.now())
-          : node.running().runs(endpoint.id(), model, adapter, node.now());
-    }
-  }
 }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
@@ -30,9 +30,14 @@
 
   private final Random random = new Random();
   private final Map<Key, Queue> queues = new LinkedHashMap<>();
+  private final UnmetWants unmet = new UnmetWants();
   private int waiting;
 
-  private record Key(String service, String model, String adapter) {}
+  private record Key(String service, String model, String adapter) {
+    private String artifact() {
+      return service + "/" + model;
+    }
+  }
 
   private static final class Queue {
     private final List<Waiter> waiters = new ArrayList<>();
@@ -70,10 +75,22 @@
     q.waiters.add(waiter);
     waiting++;
     ask(key, q);
-    long ready = orders.readyInMs(waiter.service(), waiter.model());
-    if (node.now() + ready > waiter.deadlineMs()) {
+    refuseIfLate(waiter, orders.readyInMs(waiter.service(), waiter.model()) + unmetMs(key));
+  }
+
+  /** A want that nobody has met for a time is expected to take as long again. */
+  private long unmetMs(Key key) {
+    if (orders.loading(key.service(), key.model())) {
+      unmet.met(key.artifact());
+      return 0;
+    }
+    return unmet.wanted(key.artifact(), node.now());
+  }
+
+  private void refuseIfLate(Waiter waiter, long readyMs) {
+    if (node.now() + readyMs > waiter.deadlineMs()) {
       leave(waiter);
-      waiter.refuse(ready + random.nextInt(SPREAD_MS));
+      waiter.refuse(readyMs + random.nextInt(SPREAD_MS));
     }
   }
 
@@ -89,15 +106,22 @@
     }
   }
 
-  /** Lets requests proceed whose model is held now, and asks again for the others. */
+  /**
+   * Lets requests proceed whose model is held now, refuses those that no load can serve any more,
+   * and asks again for the others.
+   */
   public void tick() {
+    unmet.forget(node.now());
     for (Map.Entry<Key, Queue> e : List.copyOf(queues.entrySet())) {
       if (held(e.getKey())) {
+        unmet.met(e.getKey().artifact());
         release(e.getKey());
       } else if (e.getValue().waiters.isEmpty()) {
         queues.remove(e.getKey());
       } else {
         ask(e.getKey(), e.getValue());
+        long ready = orders.readyInMs(e.getKey().service(), e.getKey().model());
+        List.copyOf(e.getValue().waiters).forEach(w -> refuseIfLate(w, ready));
       }
     }
   }
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/WaitRoomTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/WaitRoomTests.java
@@ -21,17 +21,19 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 
 @DisplayName("Room of requests that wait for a model")
 class WaitRoomTests {
+  private final AtomicLong now = new AtomicLong(1_000);
   private final NodeContext node =
       new NodeContext(
           null,
           null,
-          () -> 1_000,
-          new EventLog(OutputStream.nullOutputStream(), () -> 1_000, "vm", new Counter()),
+          now::get,
+          new EventLog(OutputStream.nullOutputStream(), now::get, "vm", new Counter()),
           new MetricRegistry());
   private WaitRoom room;
 
@@ -81,6 +83,50 @@
     assertEquals(0, room.waiting());
   }
 
+  @Test
+  @DisplayName("refuses those who wait as soon as no load can end before they leave")
+  void hopelessMeanwhile() {
+    configure();
+    NoSource source = new NoSource();
+    source.readyInMs = 1_000;
+    room = new WaitRoom(node, source);
+    CountingWaiter waiter = new CountingWaiter("m1");
+    waiter.deadlineMs = 3_300;
+    room.enter(waiter);
+    now.set(2_200);
+    room.tick();
+    assertEquals(0, waiter.refused);
+
+    now.set(2_400);
+    room.tick();
+
+    assertEquals(1, waiter.refused);
+    assertEquals(0, room.waiting());
+  }
+
+  @Test
+  @DisplayName("refuses newcomers at once when a want has been in vain for longer than they wait")
+  void wantedInVain() {
+    configure();
+    NoSource source = new NoSource();
+    source.readyInMs = 1_000;
+    room = new WaitRoom(node, source);
+    assertEquals(0, enterAt(1_000).refused);
+    assertEquals(0, enterAt(2_000).refused);
+    assertEquals(1, enterAt(2_400).refused);
+
+    source.loading = true;
+    assertEquals(0, enterAt(2_500).refused);
+  }
+
+  private CountingWaiter enterAt(long atMs) {
+    now.set(atMs);
+    CountingWaiter waiter = new CountingWaiter("m1");
+    waiter.deadlineMs = atMs + 2_300;
+    room.enter(waiter);
+    return waiter;
+  }
+
   private void configure() {
     ModelInfo info = new ModelInfo("m1", 1, 6_000, 1_000, 500, 1, 0);
     EngineInfo engine = new EngineInfo(8, 1_000, 10, 2, 1, Map.of("m1", info, "m2", info));
@@ -111,6 +157,12 @@
 
   private static final class NoSource implements ModelSource {
     private long readyInMs;
+    private boolean loading;
+
+    @Override
+    public boolean loading(String service, String model) {
+      return loading;
+    }
 
     @Override
     public long readyInMs(String service, String model) {
