Load by age again

Failed try, reverted: orders for a model by demand, adapters before loads. Models that few ask for waited behind those that many ask for, and they are worth most there.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderBook.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderBook.java
@@ -5,7 +5,6 @@
 import io.kumquatspindle.api.fleet.ModelInfo;
 import io.kumquatspindle.api.fleet.ModelOrder;
 import io.kumquatspindle.api.fleet.OrderAnswer;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,9 +13,8 @@
 /**
  * Orders of one endpoint, as its only holder gives them: one at a time, each guarded by the count
  * of orders that the endpoint must have accepted, so that an order that is carried out late changes
- * nothing. Answers bursts of rare models at one endpoint: what most callers ask for is loaded
- * first, room is made by evicting what is least wanted, and memory is counted before each load. One
- * owner thread.
+ * nothing. Answers bursts of rare models at one endpoint: wants are served by age, room is made by
+ * evicting what is least wanted, and memory is counted before each load. One owner thread.
  */
 public final class OrderBook {
   /** Age of the state that an engine reports, at most; after an order it is asked later. */
@@ -156,7 +154,7 @@
       // The engine refuses all orders, also those for adapters, while it loads a model.
       return Optional.empty();
     }
-    for (Want w : byUrgency(context)) {
+    for (Want w : List.copyOf(wants.values())) {
       Optional<ModelOrder> order = orderFor(w, context, now);
       if (order.isPresent()) {
         return send(order.get(), now);
@@ -165,18 +163,6 @@
     return Optional.empty();
   }
 
-  /**
-   * Adapters of models that are there come first, since a load keeps the endpoint from all other
-   * orders; then what most callers ask for; then what was wanted first.
-   */
-  private List<Want> byUrgency(OrderContext context) {
-    return wants.values().stream()
-        .sorted(
-            Comparator.comparing((Want w) -> w.adapter().isEmpty() || !holds(w.model(), ""))
-                .thenComparing(Comparator.comparingDouble((Want w) -> -context.value(w.model()))))
-        .toList();
-  }
-
   /**
    * Takes the state that the endpoint reports.
    *
