Refuse requests that arrive late in a stop

Change: requests that arrive later than 2.6 s after the begin of a stop, when the port is closed and callers have been told for over 2 s, are refused as not run, with the connection closed. Those taken before go on.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
@@ -12,6 +12,11 @@
 
 /** What all parts of the program share; owned by the event loop's thread. */
 public final class NodeContext {
+  /**
+   * Time after the begin of a stop in which requests are taken, in ms; callers notice it in 2 s.
+   */
+  static final long TAKE_AFTER_STOP_MS = 2_600;
+
   /** Time after a start in which the state is read, in ms; 0.3 s when the store is well. */
   private static final long START_MS = 1_000;
 
@@ -25,6 +30,7 @@
   private final RunningBoard running = new RunningBoard();
   private Optional<FleetConfiguration> configuration = Optional.empty();
   private final long startedMs;
+  private long stopMs;
   private boolean endpointsRead;
   private boolean stopping;
 
@@ -130,6 +136,16 @@
   /** Notes that the program is stopping. */
   public void stop() {
     stopping = true;
+    stopMs = now();
+  }
+
+  /**
+   * Tells whether new requests are refused, since they might not end before the process does.
+   *
+   * @return whether the program has been stopping for longer than it takes requests
+   */
+  public boolean takesNoMore() {
+    return stopping && now() - stopMs >= TAKE_AFTER_STOP_MS;
   }
 
   /**
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -53,9 +53,6 @@
   /** Time between looks at the group, in ms. */
   private static final long GROUP_TICK_MS = 100;
 
-  /** Time in which the platform notices that this VM is no longer ready, in ms. */
-  private static final long LISTENER_CLOSE_MS = 2_600;
-
   /** Time kept for the end of the process before it is killed, in ms. */
   private static final long STOP_RESERVE_MS = 700;
 
@@ -233,8 +230,8 @@
               node.log().line("stop").write();
               node.stop();
               owners.leave(() -> {});
-              node.after(LISTENER_CLOSE_MS, front::stopAccepting);
-              node.after(LISTENER_CLOSE_MS, () -> drain(begunMs));
+              node.after(NodeContext.TAKE_AFTER_STOP_MS, front::stopAccepting);
+              node.after(NodeContext.TAKE_AFTER_STOP_MS, () -> drain(begunMs));
             });
     try {
       stopped.await(node.settings().graceMs(), TimeUnit.MILLISECONDS);
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Admission.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Admission.java
@@ -18,6 +18,11 @@
     this.parts = parts;
   }
 
+  /** Decides about a request that has just arrived, as below. */
+  Optional<ErrorKind> checkNew(CallHead head, String path) {
+    return parts.node().takesNoMore() ? Optional.of(ErrorKind.SHUTTING_DOWN) : check(head, path);
+  }
+
   /** Looks up route and customer; returns why the request is denied, if it is. */
   Optional<ErrorKind> check(CallHead head, String path) {
     Optional<FleetConfiguration> configuration = parts.node().configuration();
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -62,7 +62,7 @@
       fail(ErrorKind.MALFORMED_REQUEST, 0, String.valueOf(e.getMessage()));
       return;
     }
-    Optional<ErrorKind> denied = admission.check(head, path());
+    Optional<ErrorKind> denied = admission.checkNew(head, path());
     if (denied.isPresent()) {
       fail(denied.get(), DEFAULT_RETRY_MS, "");
       return;
