Share what was written twice, and give pauses a reason

AdmissionTests.lateInStop had not been seen to fail: with the check switched off it does (STALE_CONFIGURATION instead of SHUTTING_DOWN). New: WaitRoomTests.wantedAnew fails without the forgetting.

--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/demo/Demo.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/demo/Demo.java
@@ -9,6 +9,7 @@
 import io.kumquatspindle.bench.caller.ChatRequest;
 import io.kumquatspindle.bench.demo.Steps.Outcome;
 import io.kumquatspindle.bench.processes.BuildTree;
+import io.kumquatspindle.bench.processes.Pause;
 import io.kumquatspindle.bench.processes.SiteVm;
 import io.kumquatspindle.bench.processes.TestSite;
 import io.kumquatspindle.bench.tickets.OperatorCommand;
@@ -110,7 +111,7 @@
         if (System.nanoTime() - start > IN_FORCE_TIMEOUT.toNanos()) {
           return Outcome.failed(vm.id() + " still answers " + last);
         }
-        sleep();
+        Pause.of(POLL);
         last = caller.get(page, Optional.of(key)).status();
       }
     }
@@ -160,7 +161,7 @@
     List<ProcessHandle> left = left();
     // The shells that watch over the processes end shortly after them.
     while (!left.isEmpty() && System.nanoTime() - start < LEFT_TIMEOUT.toNanos()) {
-      sleep();
+      Pause.of(POLL);
       left = left();
     }
     return Outcome.of(left.isEmpty(), left.isEmpty() ? "" : left.toString());
@@ -173,13 +174,4 @@
   private static long millisSince(long start) {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
   }
-
-  private static void sleep() throws IOException {
-    try {
-      Thread.sleep(POLL.toMillis());
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new IOException("interrupted", e);
-    }
-  }
 }
--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/processes/ManagedProcess.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/processes/ManagedProcess.java
@@ -101,7 +101,7 @@
       if (System.nanoTime() - end > 0) {
         throw new IOException(name + " is not ready after " + timeout.toMillis() + " ms");
       }
-      sleep();
+      Pause.of(POLL);
     }
   }
 
@@ -170,15 +170,6 @@
     }
   }
 
-  private static void sleep() throws IOException {
-    try {
-      Thread.sleep(POLL.toMillis());
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new IOException("interrupted", e);
-    }
-  }
-
   /** Describes a program to start. */
   public static final class Builder {
     private final String name;
--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/slopes/Fleet.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/slopes/Fleet.java
@@ -7,6 +7,7 @@
 import io.kumquatspindle.bench.WorkDirectory;
 import io.kumquatspindle.bench.caller.Caller;
 import io.kumquatspindle.bench.processes.BuildTree;
+import io.kumquatspindle.bench.processes.Pause;
 import io.kumquatspindle.bench.processes.SiteVm;
 import io.kumquatspindle.bench.processes.TestSite;
 import io.kumquatspindle.bench.tickets.LargeTickets;
@@ -93,7 +94,7 @@
         if (System.nanoTime() - end > 0) {
           throw new IOException("ticket " + lastTicket + " is not in force at " + vm.id());
         }
-        sleep(POLL_MS);
+        Pause.of(Duration.ofMillis(POLL_MS));
       }
     }
   }
@@ -134,15 +135,6 @@
     return page(vm).values().get("jvm_heap_used_bytes");
   }
 
-  static void sleep(long ms) throws IOException {
-    try {
-      Thread.sleep(ms);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new IOException("interrupted", e);
-    }
-  }
-
   /** Kills everything: a graceful stop of each row would take longer than its sample. */
   @Override
   public void close() throws IOException {
--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/slopes/LoadDriver.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/slopes/LoadDriver.java
@@ -5,6 +5,7 @@
 import io.kumquatspindle.api.message.Envelope;
 import io.kumquatspindle.api.model.VmId;
 import io.kumquatspindle.api.time.SystemTimerService;
+import io.kumquatspindle.bench.processes.Pause;
 import io.kumquatspindle.bench.tickets.LargeTickets;
 import io.kumquatspindle.bench.tickets.SiteTickets;
 import io.kumquatspindle.transport.link.Link;
@@ -35,7 +36,7 @@
             .heartbeat(Duration.ofMillis(500))
             .start();
     while (client.current().isEmpty()) {
-      Fleet.sleep(CONNECT_POLL_MS);
+      Pause.of(Duration.ofMillis(CONNECT_POLL_MS));
     }
     if (row.loadsPerSecond() > 0) {
       long micros = Math.round(MICROS_PER_SECOND / row.loadsPerSecond());
--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/slopes/LossRun.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/slopes/LossRun.java
@@ -2,9 +2,11 @@
 
 import io.kumquatspindle.api.json.Json;
 import io.kumquatspindle.api.platform.ListedVm;
+import io.kumquatspindle.bench.processes.Pause;
 import io.kumquatspindle.bench.processes.SiteVm;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -54,7 +56,7 @@
               .filter(v -> v == first || (wholeDomain && v.domain().equals(first.domain())))
               .toList();
       List<SiteVm> left = all.stream().filter(v -> !lost.contains(v)).toList();
-      Fleet.sleep(SETTLE_MS);
+      Pause.of(Duration.ofMillis(SETTLE_MS));
       List<Result> results = new ArrayList<>();
       results.add(sample(fleet, left, name, "before"));
       lost.forEach(SiteVm::kill);
@@ -78,7 +80,7 @@
   private Result sample(Fleet fleet, List<SiteVm> vms, String lost, String phase)
       throws IOException {
     Map<SiteVm, MetricsPage> before = fleet.pages(vms);
-    Fleet.sleep(sampleMs);
+    Pause.of(Duration.ofMillis(sampleMs));
     Map<SiteVm, MetricsPage> after = fleet.pages(vms);
     double cpu = 0;
     double out = 0;
--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/slopes/RowRun.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/slopes/RowRun.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.kumquatspindle.api.time.SystemTimerService;
+import io.kumquatspindle.bench.processes.Pause;
 import io.kumquatspindle.bench.processes.SiteVm;
 import java.io.IOException;
 import java.time.Duration;
@@ -31,7 +32,7 @@
         long period = Math.round(MS_PER_MINUTE / row.changesPerMinute());
         changes.every(Duration.ofMillis(period), () -> change(fleet));
       }
-      Fleet.sleep(settleMs);
+      Pause.of(Duration.ofMillis(settleMs));
       return sample(fleet, row);
     }
   }
@@ -47,7 +48,7 @@
   private RowResult sample(Fleet fleet, Row row) throws IOException {
     List<SiteVm> vms = fleet.site().vms();
     Map<SiteVm, MetricsPage> before = fleet.pages(vms);
-    Fleet.sleep(sampleMs);
+    Pause.of(Duration.ofMillis(sampleMs));
     Map<SiteVm, MetricsPage> after = fleet.pages(vms);
     Map<String, Double> sums = new TreeMap<>();
     double maxCpu = 0;
--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/slopes/ServeTimes.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/slopes/ServeTimes.java
@@ -1,6 +1,7 @@
 package io.kumquatspindle.bench.slopes;
 
 import io.kumquatspindle.bench.caller.Caller;
+import io.kumquatspindle.bench.processes.Pause;
 import io.kumquatspindle.bench.processes.SiteVm;
 import java.io.IOException;
 import java.net.URI;
@@ -65,7 +66,7 @@
       if (System.nanoTime() - start > LIMIT.toNanos()) {
         throw new IOException(page + " is not ready after " + LIMIT);
       }
-      Fleet.sleep(POLL_MS);
+      Pause.of(Duration.ofMillis(POLL_MS));
     }
   }
 
--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/speed/SpeedCommand.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/speed/SpeedCommand.java
@@ -10,6 +10,7 @@
 import io.kumquatspindle.bench.caller.ChatReply;
 import io.kumquatspindle.bench.caller.ChatRequest;
 import io.kumquatspindle.bench.processes.BuildTree;
+import io.kumquatspindle.bench.processes.Pause;
 import io.kumquatspindle.bench.processes.TestSite;
 import io.kumquatspindle.bench.tickets.OperatorCommand;
 import io.kumquatspindle.bench.tickets.SiteTickets;
@@ -35,6 +36,7 @@
   private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(30);
   private static final Duration REST = Duration.ofSeconds(5);
   private static final int WARM_ATTEMPTS = 100;
+  private static final Duration WARM_PAUSE = Duration.ofMillis(100);
 
   @Option(name = "--rates", title = "LIST", description = "Requests a second for each target")
   private String rates = "200,1000";
@@ -96,7 +98,7 @@
     ChatRequest request = new ChatRequest(MODEL, "how long does this take", tokens);
     prepare(tree, site, caller, entry, request);
     HeapGauge.Sampling rest = heap.start();
-    sleep(REST);
+    Pause.of(REST);
     HeapGauge.Heap atRest = rest.end();
     List<Target> targets =
         List.of(
@@ -129,17 +131,8 @@
       if (last.answers(request)) {
         return;
       }
-      sleep(Duration.ofMillis(100));
+      Pause.of(WARM_PAUSE);
     }
     throw new IOException("the model does not get warm: " + last);
   }
-
-  private static void sleep(Duration time) throws IOException {
-    try {
-      Thread.sleep(time.toMillis());
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new IOException("interrupted", e);
-    }
-  }
 }
--- a/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/processes/BenchThatIsKilled.java
+++ b/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/processes/BenchThatIsKilled.java
@@ -1,6 +1,7 @@
 package io.kumquatspindle.bench.processes;
 
 import java.nio.file.Path;
+import java.time.Duration;
 
 /** Starts a long process and waits; run and killed by {@link ManagedProcessTests}. */
 final class BenchThatIsKilled {
@@ -10,6 +11,7 @@
     ManagedProcess p =
         ManagedProcess.builder("long", Path.of(args[0])).args("sleep", "300").start();
     System.out.println(p.pid());
-    Thread.sleep(300_000);
+    // Ends with its child if the test that should kill it does not.
+    p.awaitExit(Duration.ofSeconds(300));
   }
 }
--- a/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/speed/OpenLoopTests.java
+++ b/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/speed/OpenLoopTests.java
@@ -26,6 +26,7 @@
 
 @DisplayName("Open loop")
 class OpenLoopTests {
+  private static final long STALL_MS = 500;
   private static final ChatRequest REQUEST = new ChatRequest("m", "hello", 3);
 
   @TempDir Path dir;
@@ -98,9 +99,10 @@
 
   private void stallForHalfASecond() {
     try {
-      Thread.sleep(500);
+      // The stall is the load pattern: it begins and ends while the loop of 2 s runs.
+      Thread.sleep(STALL_MS);
       site.standIns().pause();
-      Thread.sleep(500);
+      Thread.sleep(STALL_MS);
       site.standIns().resume();
     } catch (Exception e) {
       throw new AssertionError(e);
--- a/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/system/AnswersTests.java
+++ b/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/system/AnswersTests.java
@@ -30,6 +30,10 @@
   private static final int TOKENS = 8;
   private static final Duration DEADLINE = Duration.ofSeconds(2);
   private static final Duration FAULT_TIME = Duration.ofMillis(1500);
+
+  // Faults hit requests in all their phases: the gap is about an answer, the spread is seeded.
+  private static final int FAULT_GAP_MS = 100;
+  private static final int FAULT_GAP_SPREAD_MS = 200;
   private static final Duration SERVED = Duration.ofSeconds(20);
   @TempDir static Path dir;
   private static RequestSite site;
@@ -92,7 +96,7 @@
         for (String engine : site.site.engines()) {
           site.faults(engine, fault.replace("}", ",\"remaining\":" + CALLERS + "}"));
         }
-        Thread.sleep(100 + random.nextInt(200));
+        Thread.sleep(FAULT_GAP_MS + random.nextInt(FAULT_GAP_SPREAD_MS));
       }
       site.endFaults();
       load.end(DEADLINE.plusSeconds(15));
--- a/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/system/AtMostOnceTests.java
+++ b/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/system/AtMostOnceTests.java
@@ -34,6 +34,15 @@
   private static final int ROUNDS = 7;
   private static final int KILLS = 2;
   private static final Duration DEADLINE = Duration.ofSeconds(2);
+
+  // Faults hit calls in all their phases: a call takes less than this, the spread is seeded.
+  private static final int FAULT_GAP_MS = 100;
+  private static final int FAULT_GAP_SPREAD_MS = 200;
+
+  // A call whose caller has given up may still run, as late as the longest delay of a fault; that
+  // nothing runs twice after it shows only by waiting.
+  private static final int LONGEST_DELAY_MS = 2_500;
+  private static final int LATE_RUN_MS = LONGEST_DELAY_MS + 100;
   @TempDir static Path dir;
   private static RequestSite site;
   private final Set<SiteVm> killed = new HashSet<>();
@@ -79,7 +88,7 @@
                 "{\"hang\":true,\"remaining\":3}",
                 "{\"refuse\":true,\"remaining\":6}",
                 "{\"answerLateMs\":2500,\"remaining\":3}",
-                "{\"delayMs\":2500,\"remaining\":3}",
+                "{\"delayMs\":" + LONGEST_DELAY_MS + ",\"remaining\":3}",
                 "{\"downMs\":100}"
               };
               for (String service : site.site.services()) {
@@ -139,7 +148,7 @@
           });
       for (int i = 0; i < rounds; i++) {
         disturbance.apply(random);
-        Thread.sleep(100 + random.nextInt(200));
+        Thread.sleep(FAULT_GAP_MS + random.nextInt(FAULT_GAP_SPREAD_MS));
       }
       site.endFaults();
       load.end(DEADLINE.multipliedBy(MAX_TRIES).plusSeconds(20));
@@ -171,8 +180,7 @@
   private void check(List<Observation> run) throws Exception {
     Set<String> asked = new HashSet<>();
     run.forEach(o -> asked.add(o.callId()));
-    // A call whose caller has given up may still run; the longest delay of a fault bounds that.
-    Thread.sleep(2_600);
+    Thread.sleep(LATE_RUN_MS);
     CallCheck calls =
         new CallCheck(site.executions().stream().filter(e -> asked.contains(e.callId())).toList());
     RequestSite.assertNone(calls.faults(run));
--- a/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/system/BalancedLoad.java
+++ b/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/system/BalancedLoad.java
@@ -22,6 +22,8 @@
   private static final int STREAMS_PER_VM = 4;
   private static final int CALLS_PER_VM = 4;
   private static final int TOKENS = 25;
+
+  // Between looks at readiness, and after a refusal, as a balancer does.
   private static final long CHECK_MS = 50;
   private static final Duration CHECK_TIMEOUT = Duration.ofMillis(500);
 
--- a/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/system/FleetObserver.java
+++ b/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/system/FleetObserver.java
@@ -11,6 +11,7 @@
 
 /** Asks every VM over and over which tickets are in force there, and records what it learns. */
 final class FleetObserver implements AutoCloseable {
+  // Between looks at what a VM has in force: its resolution of the time at which a change shows.
   private static final long PERIOD_MS = 50;
   private static final Duration TIMEOUT = Duration.ofMillis(1_000);
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
@@ -13,7 +13,8 @@
 /** What all parts of the program share; owned by the event loop's thread. */
 public final class NodeContext {
   /**
-   * Time after the begin of a stop in which requests are taken, in ms; callers notice it in 2 s.
+   * Time after the begin of a stop in which requests are taken, in ms; the platform has noticed by
+   * then that this VM is not ready.
    */
   static final long TAKE_AFTER_STOP_MS = 2_600;
 
@@ -28,8 +29,8 @@
   private final EndpointTable endpoints = new EndpointTable();
   private final ModelDemand demand = new ModelDemand();
   private final RunningBoard running = new RunningBoard();
-  private Optional<FleetConfiguration> configuration = Optional.empty();
   private final long startedMs;
+  private Optional<FleetConfiguration> configuration = Optional.empty();
   private long stopMs;
   private boolean endpointsRead;
   private boolean stopping;
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Admission.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Admission.java
@@ -18,12 +18,15 @@
     this.parts = parts;
   }
 
-  /** Decides about a request that has just arrived, as below. */
+  /** Returns why a request that has just arrived is denied, by a stop or as {@link #check} says. */
   Optional<ErrorKind> checkNew(CallHead head, String path) {
     return parts.node().takesNoMore() ? Optional.of(ErrorKind.SHUTTING_DOWN) : check(head, path);
   }
 
-  /** Looks up route and customer; returns why the request is denied, if it is. */
+  /**
+   * Looks up route and customer; returns why the request is denied, if it is. Also called for a
+   * request that has waited, since the configuration may have changed.
+   */
   Optional<ErrorKind> check(CallHead head, String path) {
     Optional<FleetConfiguration> configuration = parts.node().configuration();
     if (configuration.isEmpty()) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/UnmetWants.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/UnmetWants.java
@@ -9,7 +9,7 @@
  */
 final class UnmetWants {
   /** Time after the last want in which a model counts as wanted, in ms; a caller's pause. */
-  static final long FORGET_MS = 3_000;
+  private static final long FORGET_MS = 3_000;
 
   private final Map<String, Unmet> byModel = new HashMap<>();
 
@@ -23,9 +23,9 @@
    * @return time for which the model has been wanted in vain, in ms
    */
   long wanted(String model, long now) {
+    byModel.values().removeIf(u -> now - u.wantedMs() > FORGET_MS);
     Unmet before = byModel.get(model);
-    boolean goesOn = before != null && now - before.wantedMs() <= FORGET_MS;
-    long since = goesOn ? before.sinceMs() : now;
+    long since = before == null ? now : before.sinceMs();
     byModel.put(model, new Unmet(since, now));
     return now - since;
   }
@@ -38,13 +38,4 @@
   void met(String model) {
     byModel.remove(model);
   }
-
-  /**
-   * Drops models that are no longer wanted.
-   *
-   * @param now present time, in ms
-   */
-  void forget(long now) {
-    byModel.values().removeIf(u -> now - u.wantedMs() > FORGET_MS);
-  }
 }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
@@ -111,17 +111,18 @@
    * and asks again for the others.
    */
   public void tick() {
-    unmet.forget(node.now());
     for (Map.Entry<Key, Queue> e : List.copyOf(queues.entrySet())) {
-      if (held(e.getKey())) {
-        unmet.met(e.getKey().artifact());
-        release(e.getKey());
-      } else if (e.getValue().waiters.isEmpty()) {
-        queues.remove(e.getKey());
+      Key key = e.getKey();
+      Queue q = e.getValue();
+      if (held(key)) {
+        unmet.met(key.artifact());
+        release(key);
+      } else if (q.waiters.isEmpty()) {
+        queues.remove(key);
       } else {
-        ask(e.getKey(), e.getValue());
-        long ready = orders.readyInMs(e.getKey().service(), e.getKey().model());
-        List.copyOf(e.getValue().waiters).forEach(w -> refuseIfLate(w, ready));
+        ask(key, q);
+        long ready = orders.readyInMs(key.service(), key.model());
+        List.copyOf(q.waiters).forEach(w -> refuseIfLate(w, ready));
       }
     }
   }
--- /dev/null
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/TestNodes.java
@@ -0,0 +1,56 @@
+package io.kumquatspindle.node;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import io.kumquatspindle.node.observe.EventLog;
+import java.io.OutputStream;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Contexts of programs whose clock the test sets, without an event loop and without a log. */
+public final class TestNodes {
+  /** Address for peers of the VM that {@link #of} sets up. */
+  public static final String SELF = "10.0.0.1:7600";
+
+  private TestNodes() {}
+
+  /**
+   * Returns the context of a program on a VM of the first failure domain.
+   *
+   * @param now the clock, in ms
+   * @param domains all failure domains
+   * @return the context
+   */
+  public static NodeContext of(AtomicLong now, String... domains) {
+    return new NodeContext(
+        settings(List.of(domains)),
+        null,
+        now::get,
+        new EventLog(OutputStream.nullOutputStream(), now::get, "vm", new Counter()),
+        new MetricRegistry());
+  }
+
+  private static NodeSettings settings(List<String> domains) {
+    return new NodeSettings(
+        "vm",
+        "10.0.0.1",
+        domains.get(0),
+        domains,
+        true,
+        1,
+        2,
+        7600,
+        0,
+        "10.0.0.9",
+        80,
+        8,
+        1_000,
+        true,
+        3_000,
+        10_000,
+        0.2,
+        50,
+        8_000,
+        4);
+  }
+}
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/front/AdmissionTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/front/AdmissionTests.java
@@ -2,12 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import com.codahale.metrics.Counter;
-import com.codahale.metrics.MetricRegistry;
 import io.kumquatspindle.api.error.ErrorKind;
 import io.kumquatspindle.node.NodeContext;
-import io.kumquatspindle.node.observe.EventLog;
-import java.io.OutputStream;
+import io.kumquatspindle.node.TestNodes;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.DisplayName;
@@ -16,13 +13,7 @@
 @DisplayName("Admission of requests")
 class AdmissionTests {
   private final AtomicLong now = new AtomicLong(1_000);
-  private final NodeContext node =
-      new NodeContext(
-          null,
-          null,
-          now::get,
-          new EventLog(OutputStream.nullOutputStream(), now::get, "vm", new Counter()),
-          new MetricRegistry());
+  private final NodeContext node = TestNodes.of(now, "west");
   private final Admission admission =
       new Admission(new FrontParts(node, null, null, null, null, null, null, null));
 
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/OwnersTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/OwnersTests.java
@@ -2,18 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import com.codahale.metrics.Counter;
-import com.codahale.metrics.MetricRegistry;
 import io.kumquatspindle.node.NodeContext;
-import io.kumquatspindle.node.NodeSettings;
-import io.kumquatspindle.node.observe.EventLog;
+import io.kumquatspindle.node.TestNodes;
 import io.kumquatspindle.node.peer.PeerNetwork;
 import io.kumquatspindle.node.peer.Peers;
 import io.kumquatspindle.node.peer.QuotaController;
 import io.kumquatspindle.node.port.RecordStore;
-import java.io.OutputStream;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -24,42 +19,15 @@
 
 @DisplayName("Owners of endpoints")
 class OwnersTests {
-  private static final String SELF = "10.0.0.1:7600";
   private static final String FIRST = "10.0.0.2:7600";
   private static final String SAME_TIME = "10.1.0.1:7600";
 
   private final AtomicLong now = new AtomicLong(1_000);
-  private final NodeContext node =
-      new NodeContext(
-          new NodeSettings(
-              "vm",
-              "10.0.0.1",
-              "west",
-              List.of("west", "east"),
-              true,
-              1,
-              2,
-              7600,
-              0,
-              "10.0.0.9",
-              80,
-              8,
-              1_000,
-              true,
-              3_000,
-              10_000,
-              0.2,
-              50,
-              8_000,
-              4),
-          null,
-          now::get,
-          new EventLog(OutputStream.nullOutputStream(), now::get, "vm", new Counter()),
-          new MetricRegistry());
+  private final NodeContext node = TestNodes.of(now, "west", "east");
   private final Peers peers = new Peers(node, new PeerNetwork(node, m -> {}));
   private final Groups groups = new Groups();
   private final Owners owners =
-      new Owners(node, groups, peers, new QuotaController(node, peers, 1), SELF);
+      new Owners(node, groups, peers, new QuotaController(node, peers, 1), TestNodes.SELF);
 
   @Test
   @DisplayName("learn the VMs that joined at the same time, once all hold partitions")
@@ -70,7 +38,7 @@
     groups.joined = new RecordStore.Joined(1, Set.of());
     owners.tick();
 
-    groups.rows("orders-west", Map.of(0, FIRST + "|vm-2", 1, SELF + "|vm"));
+    groups.rows("orders-west", Map.of(0, FIRST + "|vm-2", 1, TestNodes.SELF + "|vm"));
     groups.rows("orders-east", Map.of(0, "10.1.0.2:7600|vm-4", 1, SAME_TIME + "|vm-3"));
     groups.joined = new RecordStore.Joined(2, Set.of(1));
     now.addAndGet(1_000);
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/WaitRoomTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/WaitRoomTests.java
@@ -3,8 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.codahale.metrics.Counter;
-import com.codahale.metrics.MetricRegistry;
 import io.kumquatspindle.api.fleet.CallerLimits;
 import io.kumquatspindle.api.fleet.EndpointEntry;
 import io.kumquatspindle.api.fleet.EngineInfo;
@@ -14,8 +12,7 @@
 import io.kumquatspindle.api.fleet.ServiceInfo;
 import io.kumquatspindle.engine.fleet.Endpoint;
 import io.kumquatspindle.node.NodeContext;
-import io.kumquatspindle.node.observe.EventLog;
-import java.io.OutputStream;
+import io.kumquatspindle.node.TestNodes;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,13 +25,7 @@
 @DisplayName("Room of requests that wait for a model")
 class WaitRoomTests {
   private final AtomicLong now = new AtomicLong(1_000);
-  private final NodeContext node =
-      new NodeContext(
-          null,
-          null,
-          now::get,
-          new EventLog(OutputStream.nullOutputStream(), now::get, "vm", new Counter()),
-          new MetricRegistry());
+  private final NodeContext node = TestNodes.of(now, "west");
   private WaitRoom room;
 
   @Test
@@ -119,6 +110,19 @@
     assertEquals(0, enterAt(2_500).refused);
   }
 
+  @Test
+  @DisplayName("lets callers wait again when nobody has wanted the model for a time")
+  void wantedAnew() {
+    configure();
+    NoSource source = new NoSource();
+    source.readyInMs = 1_000;
+    room = new WaitRoom(node, source);
+    enterAt(1_000);
+    assertEquals(1, enterAt(2_400).refused);
+
+    assertEquals(0, enterAt(5_500).refused);
+  }
+
   private CountingWaiter enterAt(long atMs) {
     now.set(atMs);
     CountingWaiter waiter = new CountingWaiter("m1");
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeersTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeersTests.java
@@ -2,12 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import com.codahale.metrics.Counter;
-import com.codahale.metrics.MetricRegistry;
 import io.kumquatspindle.node.NodeContext;
-import io.kumquatspindle.node.NodeSettings;
-import io.kumquatspindle.node.observe.EventLog;
-import java.io.OutputStream;
+import io.kumquatspindle.node.TestNodes;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -17,44 +13,17 @@
 
 @DisplayName("Other VMs")
 class PeersTests {
-  private static final String SELF = "10.0.0.1:7600";
   private static final String OTHER = "10.0.0.2:7600";
   private static final String THIRD = "10.0.0.3:7600";
 
   private final AtomicLong now = new AtomicLong(1_000);
-  private final NodeContext node =
-      new NodeContext(
-          new NodeSettings(
-              "vm",
-              "10.0.0.1",
-              "west",
-              List.of("west"),
-              true,
-              1,
-              2,
-              7600,
-              0,
-              "10.0.0.9",
-              80,
-              8,
-              1_000,
-              true,
-              3_000,
-              10_000,
-              0.2,
-              50,
-              8_000,
-              4),
-          null,
-          now::get,
-          new EventLog(OutputStream.nullOutputStream(), now::get, "vm", new Counter()),
-          new MetricRegistry());
+  private final NodeContext node = TestNodes.of(now, "west");
   private final Peers peers = new Peers(node, new PeerNetwork(node, m -> {}));
 
   @Test
   @DisplayName("keep their share of a rate however long they are silent, while a group names them")
   void cutOff() {
-    peers.members("west", Set.of(SELF, OTHER));
+    peers.members("west", Set.of(TestNodes.SELF, OTHER));
     now.addAndGet(12_000);
 
     assertEquals(List.of(OTHER), peers.addresses());
@@ -69,7 +38,7 @@
   @Test
   @DisplayName("that hear fewer VMs than this one are told of the others that are heard")
   void passedOn() {
-    peers.members("west", Set.of(SELF, OTHER, THIRD, "10.0.0.4:7600"));
+    peers.members("west", Set.of(TestNodes.SELF, OTHER, THIRD, "10.0.0.4:7600"));
     peers.heard(digest(OTHER, 4));
     peers.heard(digest(THIRD, 4));
 
@@ -80,7 +49,7 @@
   @Test
   @DisplayName("have their share of a rate from the moment a peer tells of them")
   void told() {
-    peers.told(new PeerMessage.Known(Set.of(SELF, OTHER)));
+    peers.told(new PeerMessage.Known(Set.of(TestNodes.SELF, OTHER)));
 
     assertEquals(List.of(OTHER), peers.addresses());
     assertEquals(0.5, peers.audibleShare());
@@ -98,8 +67,8 @@
   @Test
   @DisplayName("are forgotten when no group names them and they have not been heard")
   void gone() {
-    peers.members("west", Set.of(SELF, OTHER));
-    peers.members("west", Set.of(SELF));
+    peers.members("west", Set.of(TestNodes.SELF, OTHER));
+    peers.members("west", Set.of(TestNodes.SELF));
     now.addAndGet(12_000);
 
     assertEquals(List.of(), peers.addresses());
