Serve wants whose goal can be met first, share load queues, let spare copies go

VMs did not see each other's queues, chose by their own view and had one model loaded at two endpoints. Wants were served by age, so a model that ten callers a second asked for (jeba1699e8, 25.5 s to 35 s) waited behind rare ones. Copies of models in demand were never idle enough to be evicted, and kept rare models out of the only endpoint that had them on disk.

Ruled out: the weight store's rate (at most four loads ran at once), the engines' slots (under half taken), the fencing (no order was refused for it).

Change: - LoadQueues: holders tell what waits at their endpoints with each digest; the choice of an endpoint counts that time, and what a load delays there. - Wants: models that many callers miss go first, then wants whose goal can still be met, earliest first, then the others by age. A want is kept while it is told again. - CopyPolicy: what a copy is worth, whether one more is needed (not twice for rare models, not a late one for models in demand), which are spare. - Retirement: requests are kept from a spare copy until it can be evicted. - ModelDemand: rates are right from the first second.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/ModelDemand.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/ModelDemand.java
@@ -8,7 +8,11 @@
   /** Time in which a count falls to 1/e; models wake and fall idle within some seconds. */
   public static final double MEMORY_MS = 8_000;
 
+  /** Shortest time that a rate is taken over, in ms; five digests of the other VMs. */
+  private static final double LEAST_MS = 1_000;
+
   private final Map<String, Count> counts = new HashMap<>();
+  private long firstMs = Long.MAX_VALUE;
 
   /**
    * Counts requests.
@@ -21,6 +25,7 @@
     Count c = counts.computeIfAbsent(model, m -> new Count());
     c.value = c.at(now) + requests;
     c.atMs = now;
+    firstMs = Math.min(firstMs, now);
   }
 
   /**
@@ -32,7 +37,7 @@
    */
   public double rate(String model, long now) {
     Count c = counts.get(model);
-    return c == null ? 0 : c.at(now) / (MEMORY_MS / 1_000);
+    return c == null ? 0 : c.at(now) / (observedMs(now) / 1_000);
   }
 
   /**
@@ -44,6 +49,12 @@
     return !counts.isEmpty();
   }
 
+  /** Returns the time that counts stand for; less than the memory soon after the first one. */
+  private double observedMs(long now) {
+    double age = Math.max(LEAST_MS, now - firstMs);
+    return MEMORY_MS * (1 - Math.exp(-age / MEMORY_MS));
+  }
+
   private static final class Count {
     private double value;
     private long atMs;
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderBook.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderBook.java
@@ -5,7 +5,7 @@
 import io.kumquatspindle.api.fleet.ModelInfo;
 import io.kumquatspindle.api.fleet.ModelOrder;
 import io.kumquatspindle.api.fleet.OrderAnswer;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,8 +13,10 @@
 /**
  * Orders of one endpoint, as its only holder gives them: one at a time, each guarded by the count
  * of orders that the endpoint must have accepted, so that an order that is carried out late changes
- * nothing. Answers bursts of rare models at one endpoint: wants are served by age, room is made by
- * evicting what is least wanted, and memory is counted before each load. One owner thread.
+ * nothing. Answers bursts of rare models at one endpoint: a model that many callers miss goes
+ * first, then wants whose goal can still be met, the earliest goal first, then the others by age.
+ * Room is made by evicting what is least wanted, and memory is counted before each load. One owner
+ * thread.
  */
 public final class OrderBook {
   /** Age of the state that an engine reports, at most; after an order it is asked later. */
@@ -33,7 +35,8 @@
   private static final int CONFIRMS_BEFORE_REPORT = 3;
 
   private final Residents residents = new Residents();
-  private final Map<String, Want> wants = new LinkedHashMap<>();
+  private final Wants wants = new Wants();
+  private final Retirement retirement = new Retirement();
   private Optional<ModelOrder> unanswered = Optional.empty();
   private Optional<String> loading = Optional.empty();
   private boolean reporting;
@@ -55,28 +58,51 @@
      * @param order the order
      */
     record Send(ModelOrder order) implements Step {}
-  }
 
-  private record Want(String model, String adapter, long sinceMs) {}
+    /**
+     * Keep requests away from a model that shall be evicted.
+     *
+     * @param model name of the model
+     */
+    record Retire(String model) implements Step {}
+  }
 
   /**
    * Notes that a model, or an adapter of it, is wanted at this endpoint.
    *
    * @param model name of the model
    * @param adapter name of the adapter, or empty text
+   * @param goalMs when the callers should be served, in ms
    * @param now present time, in ms
    */
-  public void want(String model, String adapter, long now) {
-    wants.putIfAbsent(model + "/" + adapter, new Want(model, adapter, now));
+  public void want(String model, String adapter, long goalMs, long now) {
+    wants.add(model, adapter, goalMs, now);
   }
 
   /**
-   * Forgets what is wanted since before a time.
+   * Forgets what was wanted last before a time.
    *
    * @param beforeMs the time, in ms
    */
   public void forgetWantsBefore(long beforeMs) {
-    wants.values().removeIf(w -> w.sinceMs() < beforeMs);
+    wants.forgetBefore(beforeMs);
+  }
+
+  /**
+   * Returns the models that wait to be loaded.
+   *
+   * @param context what the decision needs beside the state of this book
+   * @return time to load each, in ms
+   */
+  public Map<String, Integer> queued(OrderContext context) {
+    Map<String, Integer> queued = new HashMap<>();
+    for (String m : wants.models()) {
+      boolean known = context.engine().models().containsKey(m);
+      if (known && !holds(m, "") && !loading.equals(Optional.of(m))) {
+        queued.put(m, (int) context.loadMs(m));
+      }
+    }
+    return queued;
   }
 
   /** Forgets the count of orders; the next step reads it anew. */
@@ -95,6 +121,16 @@
     return residents.holds(model, adapter);
   }
 
+  /**
+   * Tells whether requests are kept from a model because it shall be evicted.
+   *
+   * @param model name of the model
+   * @return whether it is about to go
+   */
+  public boolean retiring(String model) {
+    return retirement.model().equals(Optional.of(model));
+  }
+
   /**
    * Notes a use, so that what is used is evicted last.
    *
@@ -154,10 +190,11 @@
       // The engine refuses all orders, also those for adapters, while it loads a model.
       return Optional.empty();
     }
-    for (Want w : List.copyOf(wants.values())) {
-      Optional<ModelOrder> order = orderFor(w, context, now);
-      if (order.isPresent()) {
-        return send(order.get(), now);
+    retirement.expire(now);
+    for (Wants.Want w : wants.byUrgency(m -> holds(m, ""), context, now)) {
+      Optional<Step> step = stepFor(w, context, now);
+      if (step.isPresent()) {
+        return step;
       }
     }
     return Optional.empty();
@@ -198,7 +235,7 @@
    * @param now present time, in ms
    * @return what the endpoint holds, or no longer holds, since this answer
    */
-  public List<Change> onAnswer(OrderAnswer answer, OrderContext context, long now) {
+  public List<HoldingChange> onAnswer(OrderAnswer answer, OrderContext context, long now) {
     ModelOrder order = unanswered.orElseThrow();
     unanswered = Optional.empty();
     lastOrderMs = now;
@@ -238,44 +275,49 @@
     }
   }
 
-  private List<Change> accepted(ModelOrder order, OrderContext context, long now) {
+  private List<HoldingChange> accepted(ModelOrder order, OrderContext context, long now) {
     if (order.adapter().isPresent()) {
       return adapterChanged(order, now);
     }
     if (order.load()) {
       loading = Optional.of(order.model());
       confirmAtMs = now + context.loadMs(order.model());
-      return List.of(new Change(order.model(), "", Change.Kind.LOADING));
+      return List.of(new HoldingChange(order.model(), "", HoldingChange.Kind.LOADING));
     }
-    residents.remove(order.model());
+    evicted(order.model());
     notBeforeMs = now + EVICTION_MS;
-    return List.of(new Change(order.model(), "", Change.Kind.EVICTED));
+    return List.of(new HoldingChange(order.model(), "", HoldingChange.Kind.EVICTED));
   }
 
-  private List<Change> holdsAlready(ModelOrder order, long now) {
+  private List<HoldingChange> holdsAlready(ModelOrder order, long now) {
     if (order.adapter().isPresent()) {
       orders += order.load() ? 0 : 1;
       return adapterChanged(order, now);
     }
     if (!order.load()) {
-      residents.remove(order.model());
-      return List.of(new Change(order.model(), "", Change.Kind.EVICTED));
+      evicted(order.model());
+      return List.of(new HoldingChange(order.model(), "", HoldingChange.Kind.EVICTED));
     }
     loading = Optional.empty();
     residents.add(order.model(), now);
-    wants.remove(order.model() + "/");
-    return List.of(new Change(order.model(), "", Change.Kind.LOADED));
+    wants.remove(order.model(), "");
+    return List.of(new HoldingChange(order.model(), "", HoldingChange.Kind.LOADED));
+  }
+
+  private void evicted(String model) {
+    residents.remove(model);
+    retirement.evicted(model);
   }
 
-  private List<Change> adapterChanged(ModelOrder order, long now) {
+  private List<HoldingChange> adapterChanged(ModelOrder order, long now) {
     String adapter = order.adapter().orElseThrow();
     if (order.load()) {
       residents.addAdapter(order.model(), adapter, now);
-      wants.remove(order.model() + "/" + adapter);
-      return List.of(new Change(order.model(), adapter, Change.Kind.LOADED));
+      wants.remove(order.model(), adapter);
+      return List.of(new HoldingChange(order.model(), adapter, HoldingChange.Kind.LOADED));
     }
     residents.removeAdapter(order.model(), adapter);
-    return List.of(new Change(order.model(), adapter, Change.Kind.EVICTED));
+    return List.of(new HoldingChange(order.model(), adapter, HoldingChange.Kind.EVICTED));
   }
 
   private Optional<Step> send(ModelOrder order, long now) {
@@ -284,22 +326,26 @@
     return Optional.of(new Step.Send(order));
   }
 
-  private Optional<ModelOrder> orderFor(Want w, OrderContext context, long now) {
+  private Optional<Step> stepFor(Wants.Want w, OrderContext context, long now) {
     if (!w.adapter().isEmpty() && holds(w.model(), w.adapter())) {
-      wants.remove(w.model() + "/" + w.adapter());
+      wants.remove(w.model(), w.adapter());
       return Optional.empty();
     }
     if (holds(w.model(), "")) {
       if (w.adapter().isEmpty()) {
-        wants.remove(w.model() + "/");
+        wants.remove(w.model(), "");
         return Optional.empty();
       }
-      return adapterOrder(w, context, now);
+      return adapterOrder(w, context, now).flatMap(o -> send(o, now));
+    }
+    if (!context.needed(w.model())) {
+      wants.remove(w.model(), w.adapter());
+      return Optional.empty();
     }
-    return modelOrder(w, context, now);
+    return modelStep(w, context, now);
   }
 
-  private Optional<ModelOrder> adapterOrder(Want w, OrderContext context, long now) {
+  private Optional<ModelOrder> adapterOrder(Wants.Want w, OrderContext context, long now) {
     EngineInfo engine = context.engine();
     ModelInfo model = engine.models().get(w.model());
     boolean fits = model != null && usedMb(engine) + model.adapterMb() <= engine.weightsMb();
@@ -311,18 +357,27 @@
         .map(a -> order(false, a.model(), Optional.of(a.adapter()), context));
   }
 
-  private Optional<ModelOrder> modelOrder(Want w, OrderContext context, long now) {
+  private Optional<Step> modelStep(Wants.Want w, OrderContext context, long now) {
     EngineInfo engine = context.engine();
     ModelInfo model = engine.models().get(w.model());
     if (model == null || !context.mayLoad(w.model())) {
       return Optional.empty();
     }
     if (usedMb(engine) + model.weightsMb() <= engine.weightsMb()) {
-      return Optional.of(order(true, w.model(), Optional.empty(), context));
+      return send(order(true, w.model(), Optional.empty(), context), now);
     }
-    return residents
-        .victim(context, context.value(w.model()), now)
-        .map(m -> order(false, m, Optional.empty(), context));
+    double limit = context.value(w.model());
+    boolean retiring = retirement.model().filter(m -> holds(m, "")).isPresent();
+    Optional<String> victim =
+        retiring ? retirement.due(context, now) : residents.victim(context, limit, now);
+    if (victim.isPresent()) {
+      return send(order(false, victim.get(), Optional.empty(), context), now);
+    }
+    if (retiring) {
+      return Optional.empty();
+    }
+    retirement.begin(residents.busySpare(context, limit), now);
+    return retirement.model().map(Step.Retire::new);
   }
 
   private double usedMb(EngineInfo engine) {
@@ -334,23 +389,4 @@
       boolean load, String model, Optional<String> adapter, OrderContext context) {
     return new ModelOrder(load, model, adapter, context.fence(), orders);
   }
-
-  /**
-   * A change of what the endpoint holds.
-   *
-   * @param model name of the model
-   * @param adapter name of the adapter, or empty text
-   * @param kind what changed
-   */
-  public record Change(String model, String adapter, Kind kind) {
-    /** What changed. */
-    public enum Kind {
-      /** A load has begun. */
-      LOADING,
-      /** It is there. */
-      LOADED,
-      /** It is gone. */
-      EVICTED
-    }
-  }
 }
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderContext.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderContext.java
@@ -43,6 +43,30 @@
    */
   double value(String model);
 
+  /**
+   * Tells whether the endpoint's copy of a model is needed beside those elsewhere.
+   *
+   * @param model name of a model that the endpoint does not hold
+   * @return whether it is; if not, the load is not worth its time
+   */
+  boolean needed(String model);
+
+  /**
+   * Tells whether many callers ask for a model that no endpoint can serve.
+   *
+   * @param model name of the model
+   * @return whether its load goes before all others
+   */
+  boolean missed(String model);
+
+  /**
+   * Tells whether the endpoint's copy of a model may go although requests use it.
+   *
+   * @param model name of a model that the endpoint holds
+   * @return whether the other copies carry the demand
+   */
+  boolean spare(String model);
+
   /**
    * Returns what it is worth to callers that this endpoint's copy of a model stays.
    *
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
@@ -34,27 +34,43 @@
   /** Time for which a model that was just loaded is in use and keeps its place, in ms. */
   private static final long JUST_LOADED_MS = 1_000;
 
-  /** What each further copy adds to the value of one, in requests a second. */
-  private static final double COPY_VALUE = 0.01;
+  /**
+   * Weight of the time of a load from the weight store: it takes one of the few places there, and
+   * keeps its endpoint from several loads of copies at hand.
+   */
+  private static final double STORE_WEIGHT = 2;
+
+  /** Share of a load's time that each request a second at the endpoint adds: it delays adapters. */
+  private static final double DISTURBANCE = 0.03;
+
+  /** Requests a second at an endpoint that count for that, at most. */
+  private static final double MOST_DISTURBED_PER_S = 20;
 
   private final EndpointTable endpoints;
-  private final ModelDemand demand;
+  private final CopyPolicy copies;
   private final LoadBoard loads;
+  private final LoadQueues queues;
   private final RunningBoard running;
 
   /**
    * Creates a chooser.
    *
    * @param endpoints known endpoints
-   * @param demand demand for models
+   * @param copies what copies are worth
    * @param loads loads in progress
+   * @param queues loads that wait
    * @param running requests in progress
    */
   public PlacementChooser(
-      EndpointTable endpoints, ModelDemand demand, LoadBoard loads, RunningBoard running) {
+      EndpointTable endpoints,
+      CopyPolicy copies,
+      LoadBoard loads,
+      LoadQueues queues,
+      RunningBoard running) {
     this.endpoints = endpoints;
-    this.demand = demand;
+    this.copies = copies;
     this.loads = loads;
+    this.queues = queues;
     this.running = running;
   }
 
@@ -129,13 +145,24 @@
     }
     Optional<LoadBoard.Load> running = loads.at(e.id(), now);
     if (running.isPresent()) {
+      ms += Math.max(0, running.get().untilMs() - now);
       if (running.get().model().equals(model.name())) {
         return ms;
       }
-      ms += Math.max(0, running.get().untilMs() - now) + model.diskMs();
+      ms += model.diskMs();
+    }
+    if (!queues.queued(e.id(), model.name(), now)) {
+      ms += queues.backlogMs(e.id(), now);
+      ms += Math.max(0, JUST_LOADED_MS - loads.sinceLoadMs(e.id(), now));
     }
-    ms += Math.max(0, JUST_LOADED_MS - loads.sinceLoadMs(e.id(), now));
-    return ms + loadMs(e.entry(), model) + evictionMs(e, engine, model, now);
+    double disturbed = Math.min(MOST_DISTURBED_PER_S, copies.rateAt(e, now));
+    double loadMs = weightedLoadMs(e.entry(), model) * (1 + DISTURBANCE * disturbed);
+    return ms + loadMs + evictionMs(e, engine, model, now);
+  }
+
+  private static double weightedLoadMs(EndpointEntry entry, ModelInfo model) {
+    long ms = loadMs(entry, model);
+    return ms == model.storeMs() ? STORE_WEIGHT * ms : ms;
   }
 
   /**
@@ -161,8 +188,11 @@
       long rest = load.map(l -> Math.max(0, l.untilMs() - now)).orElse(0L);
       boolean own = load.isPresent() && load.get().model().equals(model.name());
       long ms = loadMs(e.entry(), model);
-      if (own || ms < model.storeMs()) {
-        best = Math.min(best, own ? rest : rest + ms);
+      if (own) {
+        best = Math.min(best, rest);
+      } else if (ms < model.storeMs()) {
+        boolean first = queues.queued(e.id(), model.name(), now);
+        best = Math.min(best, rest + ms + (first ? 0 : queues.backlogMs(e.id(), now)));
       }
     }
     return best;
@@ -184,14 +214,13 @@
 
   /** Adds up what must be evicted until the model fits, cheapest first. */
   private double evictionMs(Endpoint e, EngineInfo engine, ModelInfo model, long now) {
-    String service = e.entry().service();
     double free = engine.weightsMb();
     Map<String, Double> costs = new HashMap<>();
     for (String m : e.models(now)) {
       ModelInfo info = engine.models().get(m);
       free -= info == null ? 0 : info.weightsMb();
       double inUse = running.runs(e.id(), m, now) ? IN_USE_MS : 0;
-      costs.put(m, inUse + EVICTION_MS * keepValue(service, m, now));
+      costs.put(m, inUse + EVICTION_MS * copies.keepValue(e, m, now));
     }
     double ms = 0;
     List<String> cheapest =
@@ -205,30 +234,4 @@
     }
     return ms;
   }
-
-  /**
-   * Returns what it is worth that one copy of a model stays: requests a second for each copy.
-   *
-   * @param service name of the service
-   * @param model name of the model
-   * @param now present time, in ms
-   * @return value
-   */
-  public double keepValue(String service, String model, long now) {
-    int copies = Math.max(1, copies(service, model, now));
-    // Before there is any demand, several copies are the only sign of a model that will be wanted.
-    return demand.rate(model, now) / copies + COPY_VALUE * (copies - 1);
-  }
-
-  /**
-   * Counts the copies of a model.
-   *
-   * @param service name of the service
-   * @param model name of the model
-   * @param now present time, in ms
-   * @return endpoints that take work and hold it
-   */
-  public int copies(String service, String model, long now) {
-    return (int) endpoints.of(service).stream().filter(e -> e.holds(model, "", now)).count();
-  }
 }
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Residents.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Residents.java
@@ -3,6 +3,7 @@
 import io.kumquatspindle.api.fleet.EngineInfo;
 import io.kumquatspindle.api.fleet.HeldModel;
 import io.kumquatspindle.api.fleet.ModelInfo;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -119,6 +120,16 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Picks the model in use whose loss costs callers least, among those that may go all the same.
+   */
+  Optional<String> busySpare(OrderContext context, double limit) {
+    return byModel.keySet().stream()
+        .filter(context::spare)
+        .filter(m -> context.keepValue(m) < limit)
+        .min(Comparator.comparingDouble(context::keepValue));
+  }
+
   /** Picks the idle adapter that was not used for longest. */
   Optional<Adapter> oldestAdapter(OrderContext context, long now) {
     Adapter best = null;
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/OrderBookTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/OrderBookTests.java
@@ -13,6 +13,7 @@
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.DisplayName;
@@ -29,7 +30,7 @@
   @DisplayName("reads the count of orders first and evicts before it loads")
   void swap() {
     report(7, "a", "b");
-    book.want("c", "", now);
+    book.want("c", "", now + 10_000, now);
 
     ModelOrder evict = send();
     assertFalse(evict.load());
@@ -46,8 +47,8 @@
   @DisplayName("orders nothing that does not fit, also while a load is in progress")
   void memory() {
     report(0, "a");
-    book.want("c", "", now);
-    book.want("d", "", now);
+    book.want("c", "", now + 10_000, now);
+    book.want("d", "", now + 10_000, now);
     assertEquals("c", send().model());
     answer(OrderAnswer.ACCEPTED);
 
@@ -59,7 +60,7 @@
   void inUse() {
     report(0, "a", "b");
     context.running.addAll(Set.of("a", "b"));
-    book.want("c", "", now);
+    book.want("c", "", now + 10_000, now);
 
     assertTrue(book.next(context, now).isEmpty());
     context.running.remove("b");
@@ -73,8 +74,8 @@
 
     now += 1_000;
     send();
-    List<OrderBook.Change> changes = answer(OrderAnswer.HOLDS);
-    assertEquals(OrderBook.Change.Kind.LOADED, changes.get(0).kind());
+    List<HoldingChange> changes = answer(OrderAnswer.HOLDS);
+    assertEquals(HoldingChange.Kind.LOADED, changes.get(0).kind());
     assertTrue(book.holds("c", ""));
   }
 
@@ -109,7 +110,7 @@
   @DisplayName("reads the state anew after an order without an answer")
   void unanswered() {
     report(3, "a");
-    book.want("c", "", now);
+    book.want("c", "", now + 10_000, now);
     send();
     answer(OrderAnswer.UNKNOWN);
 
@@ -117,6 +118,140 @@
     assertInstanceOf(OrderBook.Step.Report.class, book.next(context, now + 600).orElseThrow());
   }
 
+  @Nested
+  @DisplayName("when several models are wanted")
+  class Queue {
+
+    @Test
+    @DisplayName("loads first what many callers miss, though others have waited for longer")
+    void missedFirst() {
+      report(0);
+      book.want("a", "", now + 10_000, now);
+      book.want("b", "", now + 10_000, now + 100);
+      context.missed.add("b");
+
+      assertEquals("b", send().model());
+    }
+
+    @Test
+    @DisplayName("loads first whose goal can still be met, the earliest goal before the others")
+    void goals() {
+      report(0);
+      book.want("a", "", now + 900, now);
+      book.want("b", "", now + 3_000, now + 10);
+      book.want("c", "", now + 2_000, now + 20);
+
+      assertEquals("c", send().model());
+    }
+
+    @Test
+    @DisplayName("loads what is late as soon as no goal is left to meet")
+    void lateLast() {
+      report(0);
+      book.want("a", "", now + 900, now);
+
+      assertEquals("a", send().model());
+    }
+
+    @Test
+    @DisplayName("takes the goal of a newer caller when the earlier one is past")
+    void newerGoal() {
+      report(0);
+      book.want("a", "", now, now);
+      book.want("b", "", now + 2_000, now);
+      now += 500;
+      book.want("a", "", now + 1_100, now);
+
+      assertEquals("a", send().model());
+    }
+
+    @Test
+    @DisplayName("drops a want that another endpoint has met, instead of loading the model twice")
+    void metElsewhere() {
+      report(0);
+      book.want("a", "", now + 2_000, now);
+      context.unneeded.add("a");
+
+      assertTrue(book.next(context, now).isEmpty());
+      assertEquals(0, book.wantCount());
+    }
+
+    @Test
+    @DisplayName("keeps a want that is told again, with its age, and forgets one that is not")
+    void toldAgain() {
+      report(0);
+      book.want("a", "", now, now);
+      book.want("a", "", now, now + 2_000);
+      book.forgetWantsBefore(now + 1_000);
+      assertEquals(1, book.wantCount());
+
+      book.forgetWantsBefore(now + 2_001);
+      assertEquals(0, book.wantCount());
+    }
+
+    @Test
+    @DisplayName("tells how long the models that wait take to load, without those that it holds")
+    void queued() {
+      report(0, "a");
+      book.want("a", "x", now + 2_000, now);
+      book.want("b", "", now + 2_000, now);
+      book.want("unknown", "", now + 2_000, now);
+
+      assertEquals(Map.of("b", 1_000), book.queued(context));
+    }
+  }
+
+  @Nested
+  @DisplayName("when all models are in use but one has copies to spare")
+  class Retirement {
+
+    @Test
+    @DisplayName("keeps requests from the spare copy and evicts it when its last request ends")
+    void spareCopy() {
+      retire();
+      assertTrue(book.next(context, now + 50).isEmpty(), "while a request runs");
+
+      context.running.remove("b");
+      now += 100;
+      ModelOrder evict = send();
+      assertFalse(evict.load());
+      assertEquals("b", evict.model());
+      answer(OrderAnswer.ACCEPTED);
+      assertFalse(book.retiring("b"));
+    }
+
+    @Test
+    @DisplayName("evicts the spare copy after a second although requests still run")
+    void longRequest() {
+      retire();
+      now += 1_000;
+
+      assertEquals("b", send().model());
+    }
+
+    @Test
+    @DisplayName(
+        "lets requests to the copy again when the model that needed its room is not wanted")
+    void givenUp() {
+      retire();
+      book.forgetWantsBefore(Long.MAX_VALUE);
+      now += 2_000;
+
+      assertTrue(book.next(context, now).isEmpty());
+      assertFalse(book.retiring("b"));
+    }
+
+    private void retire() {
+      report(0, "a", "b");
+      context.running.addAll(Set.of("a", "b"));
+      context.spare.add("b");
+      book.want("c", "", now + 2_000, now);
+      OrderBook.Step step = book.next(context, now).orElseThrow();
+      assertEquals("b", assertInstanceOf(OrderBook.Step.Retire.class, step).model());
+      assertTrue(book.retiring("b"));
+    }
+  }
+
   @Nested
   @DisplayName("for adapters")
   class Adapters {
@@ -132,7 +267,7 @@
       book.used("a", "x", now);
       now += 1_600;
       book.used("a", "x", now);
-      book.want("a", "z", now);
+      book.want("a", "z", now + 10_000, now);
 
       ModelOrder evict = send();
       assertFalse(evict.load());
@@ -143,13 +278,13 @@
     @DisplayName("sends no order while a model is being loaded, as the engine would refuse it")
     void whileLoading() {
       loadBegun();
-      book.want("a", "x", now);
+      book.want("a", "x", now + 10_000, now);
 
       assertTrue(book.next(context, now + 100).isEmpty());
     }
 
     private void loadAdapter(String adapter) {
-      book.want("a", adapter, now);
+      book.want("a", adapter, now + 10_000, now);
       send();
       answer(OrderAnswer.ACCEPTED);
     }
@@ -168,13 +303,13 @@
 
   private void loadBegun() {
     report(0, "a");
-    book.want("c", "", now);
+    book.want("c", "", now + 10_000, now);
     send();
     answer(OrderAnswer.ACCEPTED);
   }
 
   private void report(long orders, String... models) {
-    book.want("c", "", now);
+    book.want("c", "", now + 10_000, now);
     assertInstanceOf(OrderBook.Step.Report.class, book.next(context, now).orElseThrow());
     book.onReport(Optional.of(state(false, orders, models)), now);
     book.forgetWantsBefore(Long.MAX_VALUE);
@@ -191,12 +326,15 @@
     return assertInstanceOf(OrderBook.Step.Send.class, step).order();
   }
 
-  private List<OrderBook.Change> answer(OrderAnswer answer) {
+  private List<HoldingChange> answer(OrderAnswer answer) {
     return book.onAnswer(answer, context, now);
   }
 
   private static final class TestContext implements OrderContext {
     private final Set<String> running = new HashSet<>();
+    private final Set<String> unneeded = new HashSet<>();
+    private final Set<String> missed = new HashSet<>();
+    private final Set<String> spare = new HashSet<>();
 
     @Override
     public EngineInfo engine() {
@@ -223,6 +361,21 @@
       return 1;
     }
 
+    @Override
+    public boolean needed(String model) {
+      return !unneeded.contains(model);
+    }
+
+    @Override
+    public boolean missed(String model) {
+      return missed.contains(model);
+    }
+
+    @Override
+    public boolean spare(String model) {
+      return spare.contains(model);
+    }
+
     @Override
     public double keepValue(String model) {
       return 0.1;
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementReplayTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementReplayTests.java
@@ -19,7 +19,10 @@
   private final ModelDemand demand = new ModelDemand();
   private final LoadBoard loads = new LoadBoard();
   private final RunningBoard running = new RunningBoard();
-  private final PlacementChooser chooser = new PlacementChooser(endpoints, demand, loads, running);
+  private final LoadQueues queues = new LoadQueues();
+  private final CopyPolicy copies = new CopyPolicy(endpoints, demand, loads);
+  private final PlacementChooser chooser =
+      new PlacementChooser(endpoints, copies, loads, queues, running);
 
   @BeforeEach
   void endpoints() {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
@@ -4,6 +4,7 @@
 import io.kumquatspindle.api.fleet.FleetConfiguration;
 import io.kumquatspindle.api.time.MonotonicClock;
 import io.kumquatspindle.engine.fleet.EndpointTable;
+import io.kumquatspindle.engine.fleet.LoadQueues;
 import io.kumquatspindle.engine.fleet.ModelDemand;
 import io.kumquatspindle.engine.fleet.RunningBoard;
 import io.kumquatspindle.node.observe.EventLog;
@@ -29,6 +30,7 @@
   private final EndpointTable endpoints = new EndpointTable();
   private final ModelDemand demand = new ModelDemand();
   private final RunningBoard running = new RunningBoard();
+  private final LoadQueues queues = new LoadQueues();
   private final long startedMs;
   private Optional<FleetConfiguration> configuration = Optional.empty();
   private long stopMs;
@@ -94,6 +96,10 @@
     return running;
   }
 
+  public LoadQueues queues() {
+    return queues;
+  }
+
   public Optional<FleetConfiguration> configuration() {
     return configuration;
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -215,7 +215,7 @@
     } else if (message instanceof PeerMessage.Known k) {
       peers.told(k);
     } else if (message instanceof PeerMessage.Want w) {
-      orders.onWant(w.endpoint(), w.model(), w.adapter());
+      orders.onWant(w.endpoint(), w.model(), w.adapter(), node.now() + w.goalInMs());
     } else if (message instanceof PeerMessage.Changed c) {
       orders.onChanged(c);
     }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -114,7 +114,8 @@
     if (chosen.isPresent()) {
       send(chosen.get(), now);
     } else if (needsModel()) {
-      ModelWait begun = ModelWait.begin(parts, head, service, waitUntilMs(), this);
+      long goalMs = arrivedMs + route().goalMs();
+      ModelWait begun = ModelWait.begin(parts, head, service, goalMs, waitUntilMs(), this);
       wait = over || attempt.isPresent() ? Optional.empty() : Optional.of(begun);
     } else {
       fail(ErrorKind.NO_ENDPOINT, DEFAULT_RETRY_MS, "candidates " + candidates.size());
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/ModelWait.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/ModelWait.java
@@ -10,6 +10,7 @@
   private final FrontParts parts;
   private final CallHead head;
   private final String service;
+  private final long goalMs;
   private final long deadlineMs;
   private final Listener listener;
   private ScheduledFuture<?> limit;
@@ -25,18 +26,29 @@
   }
 
   private ModelWait(
-      FrontParts parts, CallHead head, String service, long deadlineMs, Listener listener) {
+      FrontParts parts,
+      CallHead head,
+      String service,
+      long goalMs,
+      long deadlineMs,
+      Listener listener) {
     this.parts = parts;
     this.head = head;
     this.service = service;
+    this.goalMs = goalMs;
     this.deadlineMs = deadlineMs;
     this.listener = listener;
   }
 
   /** Begins to wait; the listener may be told before this returns. */
   static ModelWait begin(
-      FrontParts parts, CallHead head, String service, long deadlineMs, Listener listener) {
-    ModelWait w = new ModelWait(parts, head, service, deadlineMs, listener);
+      FrontParts parts,
+      CallHead head,
+      String service,
+      long goalMs,
+      long deadlineMs,
+      Listener listener) {
+    ModelWait w = new ModelWait(parts, head, service, goalMs, deadlineMs, listener);
     long left = Math.max(0, deadlineMs - parts.node().now());
     w.limit =
         parts
@@ -78,6 +90,11 @@
     return head.adapter();
   }
 
+  @Override
+  public long goalMs() {
+    return goalMs;
+  }
+
   @Override
   public long deadlineMs() {
     return deadlineMs;
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/EndpointContext.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/EndpointContext.java
@@ -2,6 +2,7 @@
 
 import io.kumquatspindle.api.fleet.EngineInfo;
 import io.kumquatspindle.api.fleet.ModelInfo;
+import io.kumquatspindle.engine.fleet.CopyPolicy;
 import io.kumquatspindle.engine.fleet.Endpoint;
 import io.kumquatspindle.engine.fleet.LoadBoard;
 import io.kumquatspindle.engine.fleet.OrderBook;
@@ -13,7 +14,7 @@
 final class EndpointContext implements OrderContext {
   private final NodeContext node;
   private final Owners owners;
-  private final PlacementChooser chooser;
+  private final CopyPolicy copies;
   private final LoadBoard loads;
   private final Endpoint endpoint;
   private final OrderBook book;
@@ -22,14 +23,14 @@
   EndpointContext(
       NodeContext node,
       Owners owners,
-      PlacementChooser chooser,
+      CopyPolicy copies,
       LoadBoard loads,
       Endpoint endpoint,
       OrderBook book,
       EngineInfo engine) {
     this.node = node;
     this.owners = owners;
-    this.chooser = chooser;
+    this.copies = copies;
     this.loads = loads;
     this.endpoint = endpoint;
     this.book = book;
@@ -58,21 +59,33 @@
     ModelInfo m = engine.models().get(model);
     boolean store = loadMs(model) == m.storeMs();
     // A model that many callers ask for does not wait behind those that one asked for.
-    int share = node.demand().rate(model, node.now()) >= OrderController.HOT_PER_S ? 2 : 1;
+    int share = node.demand().rate(model, node.now()) >= CopyPolicy.HOT_PER_S ? 2 : 1;
     return !store || loads.fromStore(node.now()) < share * node.settings().storeLoadsAtOnce();
   }
 
   @Override
   public double value(String model) {
-    long now = node.now();
-    int copies = chooser.copies(endpoint.entry().service(), model, now);
-    double rate = node.demand().rate(model, now);
-    return copies == 0 ? rate + 1 : rate / (copies + 1);
+    return copies.value(endpoint.entry().service(), model, node.now());
+  }
+
+  @Override
+  public boolean needed(String model) {
+    return copies.needed(endpoint, model, loadMs(model), node.now());
+  }
+
+  @Override
+  public boolean missed(String model) {
+    return copies.missed(endpoint.entry().service(), model, node.now());
+  }
+
+  @Override
+  public boolean spare(String model) {
+    return copies.spare(endpoint, model, node.now());
   }
 
   @Override
   public double keepValue(String model) {
-    return chooser.keepValue(endpoint.entry().service(), model, node.now());
+    return copies.keepValue(endpoint, model, node.now());
   }
 
   @Override
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/ModelSource.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/ModelSource.java
@@ -12,9 +12,10 @@
    * @param service name of the service
    * @param model name of the model
    * @param adapter name of the adapter, or empty text
+   * @param goalMs when the first caller should be served, in ms
    * @param asked how often endpoints were asked before; the choice is counted
    */
-  void want(String service, String model, String adapter, Map<String, Integer> asked);
+  void want(String service, String model, String adapter, long goalMs, Map<String, Integer> asked);
 
   /**
    * Predicts when a model will be held, if it is wanted now.
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -5,7 +5,9 @@
 import io.kumquatspindle.api.fleet.ModelInfo;
 import io.kumquatspindle.api.fleet.OrderAnswer;
 import io.kumquatspindle.api.fleet.ServiceInfo;
+import io.kumquatspindle.engine.fleet.CopyPolicy;
 import io.kumquatspindle.engine.fleet.Endpoint;
+import io.kumquatspindle.engine.fleet.HoldingChange;
 import io.kumquatspindle.engine.fleet.LoadBoard;
 import io.kumquatspindle.engine.fleet.OrderBook;
 import io.kumquatspindle.engine.fleet.OrderContext;
@@ -28,11 +30,8 @@
   /** Age after which a want is forgotten unless it is told again, in ms. */
   private static final long WANT_VALID_MS = 3_000;
 
-  /** Requests a second from which a model should have a copy in each failure domain. */
-  static final double HOT_PER_S = 3;
-
-  /** Requests a second that one copy serves well; an engine runs some tens at once. */
-  private static final double COPY_PER_S = 15;
+  /** Time in which a copy is wanted that nobody waits for, in ms. */
+  private static final long SPREAD_GOAL_MS = 10_000;
 
   private final NodeContext node;
   private final Owners owners;
@@ -40,6 +39,7 @@
   private final PeerNetwork network;
   private final EngineCalls engines;
   private final LoadBoard loads = new LoadBoard();
+  private final CopyPolicy copies;
   private final PlacementChooser chooser;
   private final Prefetch prefetch;
   private final Set<String> fetched = new HashSet<>();
@@ -64,7 +64,9 @@
     this.peers = peers;
     this.network = network;
     this.engines = engines;
-    this.chooser = new PlacementChooser(node.endpoints(), node.demand(), loads, node.running());
+    this.copies = new CopyPolicy(node.endpoints(), node.demand(), loads);
+    this.chooser =
+        new PlacementChooser(node.endpoints(), copies, loads, node.queues(), node.running());
     this.prefetch = new Prefetch(node.endpoints(), node.demand(), loads);
     this.sent = node.metrics().counter("orders_total");
   }
@@ -79,7 +81,8 @@
   }
 
   @Override
-  public void want(String service, String model, String adapter, Map<String, Integer> asked) {
+  public void want(
+      String service, String model, String adapter, long goalMs, Map<String, Integer> asked) {
     Optional<EngineInfo> engine = engine(service);
     if (engine.isEmpty()) {
       return;
@@ -95,7 +98,7 @@
     int times = asked.merge(e.id(), 1, Integer::sum);
     String its = e.entry().domain();
     if (owners.holds(e.id(), its)) {
-      onWant(e.id(), model, adapter);
+      onWant(e.id(), model, adapter, goalMs);
       return;
     }
     Optional<String> holder = owners.holder(e.id(), its);
@@ -106,7 +109,7 @@
         .field("adapter", adapter)
         .field("holder", holder.orElse(""))
         .write();
-    PeerMessage.Want want = new PeerMessage.Want(e.id(), model, adapter);
+    PeerMessage.Want want = new PeerMessage.Want(e.id(), model, adapter, goalMs - now);
     if (times == 1 && holder.isPresent()) {
       network.send(holder.get(), want);
     } else {
@@ -134,19 +137,20 @@
    * @param endpoint identity of the endpoint
    * @param model name of the model
    * @param adapter name of the adapter, or empty text
+   * @param goalMs when the first caller should be served, in ms
    */
-  public void onWant(String endpoint, String model, String adapter) {
+  public void onWant(String endpoint, String model, String adapter, long goalMs) {
     Optional<Endpoint> e = node.endpoints().find(endpoint);
     if (e.isPresent() && owners.holds(endpoint, e.get().entry().domain())) {
       OrderBook book = book(e.get());
-      if (book.holds(model, adapter)) {
-        tell(e.get(), new OrderBook.Change(model, adapter, OrderBook.Change.Kind.LOADED));
+      if (book.holds(model, adapter) && !book.retiring(model)) {
+        tell(e.get(), new HoldingChange(model, adapter, HoldingChange.Kind.LOADED));
         return;
       }
       if (!adapter.isEmpty() && !book.holds(model, "")) {
-        book.want(model, "", node.now());
+        book.want(model, "", goalMs, node.now());
       }
-      book.want(model, adapter, node.now());
+      book.want(model, adapter, goalMs, node.now());
       step(e.get(), book);
     }
   }
@@ -180,6 +184,20 @@
       b.getValue().forgetWantsBefore(now - WANT_VALID_MS);
       node.endpoints().find(b.getKey()).ifPresent(e -> step(e, b.getValue()));
     }
+    tellQueues();
+  }
+
+  private void tellQueues() {
+    for (Endpoint e : node.endpoints().all()) {
+      OrderBook book = books.get(e.id());
+      Optional<EngineInfo> engine = engine(e.entry().service());
+      boolean waits = book != null && engine.isPresent() && book.wantCount() > 0;
+      node.queues().own(e.id(), waits ? book.queued(context(e, book, engine.get())) : Map.of());
+    }
+  }
+
+  private OrderContext context(Endpoint e, OrderBook book, EngineInfo engine) {
+    return new EndpointContext(node, owners, copies, loads, e, book, engine);
   }
 
   /** Called now and then: wants copies of models whose demand outgrows those that there are. */
@@ -190,19 +208,16 @@
       if (s.engine().isEmpty()) {
         continue;
       }
-      Set<String> here = new HashSet<>();
-      node.endpoints().of(s.name()).stream()
-          .filter(e -> e.entry().domain().equals(domain))
-          .forEach(e -> here.addAll(e.models(now)));
       for (String model : s.engine().get().models().keySet()) {
         double rate = node.demand().rate(model, now);
-        int copies = chooser.copies(s.name(), model, now);
-        boolean more = rate >= HOT_PER_S && (!here.contains(model) || rate / copies > COPY_PER_S);
-        if (more && copies > 0) {
+        boolean held = rate >= CopyPolicy.HOT_PER_S && copies.copies(s.name(), model, now) > 0;
+        if (held) {
           chooser
               .chooseCopy(s.name(), s.engine().get(), model, domain, now)
               .filter(e -> owners.holds(e.id(), domain))
-              .ifPresent(e -> onWant(e.id(), model, ""));
+              .filter(e -> node.queues().backlogMs(e.id(), now) == 0)
+              .filter(e -> context(e, book(e), s.engine().get()).needed(model))
+              .ifPresent(e -> onWant(e.id(), model, "", now + SPREAD_GOAL_MS));
         }
       }
     }
@@ -230,7 +245,7 @@
             .ifPresent(
                 m -> {
                   node.log().line("prefetch").field("endpoint", e.id()).field("model", m).write();
-                  book.want(m, "", now);
+                  book.want(m, "", now + SPREAD_GOAL_MS, now);
                   step(e, book);
                 });
       }
@@ -258,7 +273,7 @@
     if (engine.isEmpty()) {
       return;
     }
-    OrderContext context = new EndpointContext(node, owners, chooser, loads, e, book, engine.get());
+    OrderContext context = context(e, book, engine.get());
     Optional<OrderBook.Step> step = book.next(context, node.now());
     if (step.isEmpty()) {
       return;
@@ -266,6 +281,9 @@
     if (step.get() instanceof OrderBook.Step.Send s) {
       sent.inc();
       engines.order(e.entry(), s.order(), a -> onAnswer(e, book, context, s, a));
+    } else if (step.get() instanceof OrderBook.Step.Retire r) {
+      node.log().line("retire").field("endpoint", e.id()).field("model", r.model()).write();
+      tell(e, new HoldingChange(r.model(), "", HoldingChange.Kind.EVICTED));
     } else {
       engines.report(
           e.entry(),
@@ -301,7 +319,7 @@
     step(e, book);
   }
 
-  private void tell(Endpoint e, OrderBook.Change c) {
+  private void tell(Endpoint e, HoldingChange c) {
     PeerMessage.Changed.Kind kind = PeerMessage.Changed.Kind.valueOf(c.kind().name());
     boolean fromStore = false;
     long forMs = 0;
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -165,7 +166,15 @@
       return;
     }
     q.askedMs = now;
-    orders.want(k.service(), k.model(), k.adapter(), q.asked);
+    orders.want(k.service(), k.model(), k.adapter(), goalMs(q, now), q.asked);
+  }
+
+  /** Returns the earliest goal that is not past, or the latest one if all are. */
+  private static long goalMs(Queue q, long now) {
+    LongSummaryStatistics goals =
+        q.waiters.stream().mapToLong(Waiter::goalMs).filter(g -> g >= now).summaryStatistics();
+    long latest = q.waiters.stream().mapToLong(Waiter::goalMs).max().orElse(now);
+    return goals.getCount() > 0 ? goals.getMin() : latest;
   }
 
   private static Key key(Waiter w) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Waiter.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Waiter.java
@@ -24,6 +24,13 @@
    */
   String adapter();
 
+  /**
+   * Returns when the caller should have the first byte.
+   *
+   * @return time in ms
+   */
+  long goalMs();
+
   /**
    * Returns when the caller stops waiting for the first byte.
    *
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerCodec.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerCodec.java
@@ -30,10 +30,8 @@
         for (Map.Entry<String, Long> e : d.models().entrySet()) {
           p.packString(e.getKey()).packLong(e.getValue());
         }
-        p.packMapHeader(d.running().size());
-        for (Map.Entry<String, Integer> e : d.running().entrySet()) {
-          p.packString(e.getKey()).packInt(e.getValue());
-        }
+        packCounts(p, d.running());
+        packCounts(p, d.queued());
         p.packLong(d.fence()).packArrayHeader(d.partitions().size());
         for (int partition : d.partitions()) {
           p.packInt(partition);
@@ -46,6 +44,7 @@
         }
       } else if (message instanceof PeerMessage.Want w) {
         p.packInt(WANT).packString(w.endpoint()).packString(w.model()).packString(w.adapter());
+        p.packLong(w.goalInMs());
       } else if (message instanceof PeerMessage.Changed c) {
         p.packInt(CHANGED).packString(c.endpoint()).packString(c.model()).packString(c.adapter());
         p.packInt(c.kind().ordinal()).packBoolean(c.fromStore()).packLong(c.forMs());
@@ -54,12 +53,30 @@
     }
   }
 
+  private static void packCounts(MessageBufferPacker p, Map<String, Integer> counts)
+      throws IOException {
+    p.packMapHeader(counts.size());
+    for (Map.Entry<String, Integer> e : counts.entrySet()) {
+      p.packString(e.getKey()).packInt(e.getValue());
+    }
+  }
+
+  private static Map<String, Integer> counts(MessageUnpacker u) throws IOException {
+    Map<String, Integer> counts = new HashMap<>();
+    for (int n = u.unpackMapHeader(); n > 0; n--) {
+      counts.put(u.unpackString(), u.unpackInt());
+    }
+    return counts;
+  }
+
   static PeerMessage decode(byte[] bytes) throws IOException {
     try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes)) {
       int kind = u.unpackInt();
       return switch (kind) {
         case DIGEST -> digest(u);
-        case WANT -> new PeerMessage.Want(u.unpackString(), u.unpackString(), u.unpackString());
+        case WANT ->
+            new PeerMessage.Want(
+                u.unpackString(), u.unpackString(), u.unpackString(), u.unpackLong());
         case CHANGED -> changed(u);
         case KNOWN -> known(u);
         default -> throw new IOException("unknown kind of message: " + kind);
@@ -81,10 +98,8 @@
     for (int n = u.unpackMapHeader(); n > 0; n--) {
       models.put(u.unpackString(), u.unpackLong());
     }
-    Map<String, Integer> running = new HashMap<>();
-    for (int n = u.unpackMapHeader(); n > 0; n--) {
-      running.put(u.unpackString(), u.unpackInt());
-    }
+    Map<String, Integer> running = counts(u);
+    Map<String, Integer> queued = counts(u);
     long fence = u.unpackLong();
     Set<Integer> partitions = new HashSet<>();
     for (int n = u.unpackArrayHeader(); n > 0; n--) {
@@ -99,6 +114,7 @@
         consumed,
         models,
         running,
+        queued,
         fence,
         partitions,
         u.unpackInt());
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerMessage.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerMessage.java
@@ -17,6 +17,8 @@
    * @param consumed consumption of customers by the sender since its start
    * @param models requests for models that the sender has read since its last digest
    * @param running requests of the sender in progress, by endpoint, model and adapter
+   * @param queued loads that wait at endpoints which the sender orders: time to load in ms, by
+   *     endpoint and model
    * @param fence fencing number of the sender's orders
    * @param partitions partitions of its failure domain's endpoints that the sender holds
    * @param heard number of VMs that the sender hears, itself included
@@ -30,6 +32,7 @@
       Map<String, Double> consumed,
       Map<String, Long> models,
       Map<String, Integer> running,
+      Map<String, Integer> queued,
       long fence,
       Set<Integer> partitions,
       int heard)
@@ -48,8 +51,10 @@
    * @param endpoint identity of the endpoint
    * @param model name of the model
    * @param adapter name of the adapter, or empty text
+   * @param goalInMs time from now until the first caller should be served, in ms; negative if past
    */
-  record Want(String endpoint, String model, String adapter) implements PeerMessage {}
+  record Want(String endpoint, String model, String adapter, long goalInMs)
+      implements PeerMessage {}
 
   /**
    * What the sender, who orders an endpoint, has changed there.
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
@@ -143,6 +143,7 @@
               }
             });
     node.running().told(peer, digest.running(), now);
+    node.queues().told(peer, digest.queued(), now);
     digest.models().forEach((model, uses) -> node.demand().add(model, uses, now));
   }
 
@@ -180,6 +181,7 @@
                   consumed,
                   models,
                   node.running().own(),
+                  node.queues().own(),
                   fence,
                   partitions,
                   peers.heardCount()));
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/WaitRoomTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/WaitRoomTests.java
@@ -123,6 +123,23 @@
     assertEquals(0, enterAt(5_500).refused);
   }
 
+  @Test
+  @DisplayName("wants a model by the earliest goal that is not past")
+  void goal() {
+    configure();
+    NoSource source = new NoSource();
+    room = new WaitRoom(node, source);
+    for (long goal : new long[] {1_900, 2_500, 4_000}) {
+      CountingWaiter waiter = new CountingWaiter("m1");
+      waiter.goalMs = goal;
+      room.enter(waiter);
+    }
+    now.set(2_000);
+    room.tick();
+
+    assertEquals(2_500, source.wantedGoalMs);
+  }
+
   private CountingWaiter enterAt(long atMs) {
     now.set(atMs);
     CountingWaiter waiter = new CountingWaiter("m1");
@@ -162,6 +179,7 @@
   private static final class NoSource implements ModelSource {
     private long readyInMs;
     private boolean loading;
+    private long wantedGoalMs;
 
     @Override
     public boolean loading(String service, String model) {
@@ -174,7 +192,10 @@
     }
 
     @Override
-    public void want(String service, String model, String adapter, Map<String, Integer> asked) {}
+    public void want(
+        String service, String model, String adapter, long goalMs, Map<String, Integer> asked) {
+      wantedGoalMs = goalMs;
+    }
 
     @Override
     public void used(Endpoint endpoint, String model, String adapter) {}
@@ -184,6 +205,7 @@
     private final String model;
     private int proceeded;
     private int refused;
+    private long goalMs;
     private long deadlineMs = Long.MAX_VALUE;
     private long retryAfterMs;
 
@@ -206,6 +228,11 @@
       return "";
     }
 
+    @Override
+    public long goalMs() {
+      return goalMs;
+    }
+
     @Override
     public long deadlineMs() {
       return deadlineMs;
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeerCodecTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeerCodecTests.java
@@ -26,11 +26,12 @@
             Map.of("c", 1.5),
             Map.of("m", 3L),
             Map.of("k", 2),
+            Map.of("e|m", 1_200),
             4,
             Set.of(1, 31),
             7),
         new PeerMessage.Known(Set.of("10.0.0.1:7600", "10.0.0.2:7600")),
-        new PeerMessage.Want("e", "m", "a1"),
+        new PeerMessage.Want("e", "m", "a1", -250),
         new PeerMessage.Changed("e", "m", "", PeerMessage.Changed.Kind.LOADING, true, 6_000));
   }
 
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeersTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeersTests.java
@@ -32,7 +32,7 @@
 
   private static PeerMessage.Digest digest(String address, int heard) {
     return new PeerMessage.Digest(
-        1, address, "west", 1, false, Map.of(), Map.of(), Map.of(), 1, Set.of(), heard);
+        1, address, "west", 1, false, Map.of(), Map.of(), Map.of(), Map.of(), 1, Set.of(), heard);
   }
 
   @Test
