Log when a request begins to wait, and wants that a holder may not order yet

From a refused request's id one could not get to the load that did not come.

Change: `waits` with the request's id, model, expected time, time wanted in vain and time to its goal; `want` for own endpoints too, with the backlog that was known; `want_held_back` with the fencing number. WaitRoomTests.line fails without it.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/ModelWait.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/ModelWait.java
@@ -75,6 +75,11 @@
     return true;
   }
 
+  @Override
+  public String requestId() {
+    return head.id();
+  }
+
   @Override
   public String service() {
     return service;
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -97,18 +97,20 @@
     Endpoint e = chosen.get();
     int times = asked.merge(e.id(), 1, Integer::sum);
     String its = e.entry().domain();
-    if (owners.holds(e.id(), its)) {
-      onWant(e.id(), model, adapter, goalMs);
-      return;
-    }
-    Optional<String> holder = owners.holder(e.id(), its);
+    boolean own = owners.holds(e.id(), its);
+    Optional<String> holder = own ? Optional.of(network.self()) : owners.holder(e.id(), its);
     node.log()
         .line("want")
         .field("endpoint", e.id())
         .field("model", model)
         .field("adapter", adapter)
         .field("holder", holder.orElse(""))
+        .field("backlog_ms", node.queues().backlogMs(e.id(), now))
         .write();
+    if (own) {
+      onWant(e.id(), model, adapter, goalMs);
+      return;
+    }
     PeerMessage.Want want = new PeerMessage.Want(e.id(), model, adapter, goalMs - now);
     if (times == 1 && holder.isPresent()) {
       network.send(holder.get(), want);
@@ -147,6 +149,14 @@
         tell(e.get(), new HoldingChange(model, adapter, HoldingChange.Kind.LOADED));
         return;
       }
+      if (!owners.mayOrder(endpoint)) {
+        node.log()
+            .line("want_held_back")
+            .field("endpoint", endpoint)
+            .field("model", model)
+            .field("fence", owners.fence())
+            .write();
+      }
       if (!adapter.isEmpty() && !book.holds(model, "")) {
         book.want(model, "", goalMs, node.now());
       }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
@@ -76,7 +76,19 @@
     q.waiters.add(waiter);
     waiting++;
     ask(key, q);
-    refuseIfLate(waiter, orders.readyInMs(waiter.service(), waiter.model()) + unmetMs(key));
+    long readyMs = orders.readyInMs(waiter.service(), waiter.model());
+    long unmetMs = unmetMs(key);
+    node.log()
+        .line("waits")
+        .field("id", waiter.requestId())
+        .field("model", waiter.model())
+        .field("adapter", waiter.adapter())
+        .field("ready_in_ms", readyMs)
+        .field("unmet_ms", unmetMs)
+        .field("goal_in_ms", waiter.goalMs() - node.now())
+        .field("waiting", waiting)
+        .write();
+    refuseIfLate(waiter, readyMs + unmetMs);
   }
 
   /** A want that nobody has met for a time is expected to take as long again. */
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Waiter.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Waiter.java
@@ -3,6 +3,13 @@
 /** A request that waits until an endpoint holds its model. */
 public interface Waiter {
 
+  /**
+   * Returns the identity of the request, for log lines.
+   *
+   * @return identity that the caller gave
+   */
+  String requestId();
+
   /**
    * Returns the service that the request is for.
    *
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/TestNodes.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/TestNodes.java
@@ -22,11 +22,23 @@
    * @return the context
    */
   public static NodeContext of(AtomicLong now, String... domains) {
+    return of(now, OutputStream.nullOutputStream(), domains);
+  }
+
+  /**
+   * Returns the context of a program on a VM of the first failure domain.
+   *
+   * @param now the clock, in ms
+   * @param output where log lines go
+   * @param domains all failure domains
+   * @return the context
+   */
+  public static NodeContext of(AtomicLong now, OutputStream output, String... domains) {
     return new NodeContext(
         settings(List.of(domains)),
         null,
         now::get,
-        new EventLog(OutputStream.nullOutputStream(), now::get, "vm", new Counter()),
+        new EventLog(output, now::get, "vm", new Counter()),
         new MetricRegistry());
   }
 
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/WaitRoomTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/WaitRoomTests.java
@@ -13,6 +13,8 @@
 import io.kumquatspindle.engine.fleet.Endpoint;
 import io.kumquatspindle.node.NodeContext;
 import io.kumquatspindle.node.TestNodes;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -25,7 +27,8 @@
 @DisplayName("Room of requests that wait for a model")
 class WaitRoomTests {
   private final AtomicLong now = new AtomicLong(1_000);
-  private final NodeContext node = TestNodes.of(now, "west");
+  private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+  private final NodeContext node = TestNodes.of(now, output, "west");
   private WaitRoom room;
 
   @Test
@@ -140,6 +143,23 @@
     assertEquals(2_500, source.wantedGoalMs);
   }
 
+  @Test
+  @DisplayName("leaves a line with the request's id and what is expected when it begins to wait")
+  void line() {
+    configure();
+    NoSource source = new NoSource();
+    source.readyInMs = 1_000;
+    room = new WaitRoom(node, source);
+    CountingWaiter waiter = new CountingWaiter("m1");
+    waiter.goalMs = 3_500;
+    room.enter(waiter);
+    node.log().close();
+
+    String line = output.toString(StandardCharsets.UTF_8);
+    assertTrue(line.contains("\"event\":\"waits\",\"id\":\"r-m1\",\"model\":\"m1\""), line);
+    assertTrue(line.contains("\"ready_in_ms\":1000") && line.contains("\"goal_in_ms\":2500"), line);
+  }
+
   private CountingWaiter enterAt(long atMs) {
     now.set(atMs);
     CountingWaiter waiter = new CountingWaiter("m1");
@@ -213,6 +233,11 @@
       this.model = model;
     }
 
+    @Override
+    public String requestId() {
+      return "r-" + model;
+    }
+
     @Override
     public String service() {
       return "s";
