Name no holder for partitions that the store has given to nobody

While a member leaves, the store names nobody for its partitions; the empty name was kept as the holder's address. The first want for such an endpoint threw in the connection to "", all later ones were dropped without a line, for up to a second each.

Change: such a partition has no holder, and wants go to all VMs of its failure domain. OwnersTests.nobody fails on the code before (expected empty, was an empty address).

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Owners.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/Owners.java
@@ -146,9 +146,13 @@
             answer.ifPresent(
                 rows -> {
                   answered.add(domain);
-                  members.computeIfAbsent(domain, d -> new HashMap<>()).putAll(rows);
-                  Set<String> addresses = new HashSet<>();
+                  Map<Integer, String> holders =
+                      members.computeIfAbsent(domain, d -> new HashMap<>());
+                  holders.putAll(rows);
+                  // The store names nobody for a partition whose member has left.
+                  holders.values().removeIf(String::isBlank);
                   rows.values().removeIf(String::isBlank);
+                  Set<String> addresses = new HashSet<>();
                   rows.values().forEach(m -> addresses.add(address(m)));
                   peers.members(domain, addresses);
                   if (answered.size() >= node.settings().domains().size()) {
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/OwnersTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/OwnersTests.java
@@ -47,6 +47,23 @@
     assertEquals(Set.of(FIRST, "10.1.0.2:7600", SAME_TIME), Set.copyOf(peers.addresses()));
   }
 
+  @Test
+  @DisplayName("do not name a holder of partitions that the store has given to nobody")
+  void nobody() {
+    groups.rows("orders-west", Map.of(0, FIRST + "|vm-2", 1, FIRST + "|vm-2"));
+    groups.rows("orders-east", Map.of(0, SAME_TIME + "|vm-3", 1, SAME_TIME + "|vm-3"));
+    groups.joined = new RecordStore.Joined(1, Set.of());
+    owners.tick();
+    assertEquals(Optional.of(SAME_TIME), owners.holder("e", "east"));
+
+    // The last VM of the failure domain has left its group.
+    groups.rows("orders-east", Map.of(0, "", 1, ""));
+    now.addAndGet(60_000);
+    owners.tick();
+
+    assertEquals(Optional.empty(), owners.holder("e", "east"));
+  }
+
   /** Groups whose answers the test sets. */
   private static final class Groups implements RecordStore {
     private final Map<String, Map<Integer, String>> rows = new HashMap<>();
