Forget the load queues of endpoints that are gone

Cause, found by reading the diff: LoadQueues kept what waited at an endpoint that left, and told it to all VMs with each digest for ever. LoadQueuesTests.goneEndpoint.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/CopyPolicy.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/CopyPolicy.java
@@ -16,10 +16,13 @@
   /** Requests a second that one copy serves well; an engine runs some tens at once. */
   static final double COPY_PER_S = 15;
 
-  /** Copies beyond those that carry the demand, for endpoints that fail. */
+  /** Copies beyond those that carry the demand: one endpoint at a time is expected to fail. */
   private static final int RESERVE_COPIES = 1;
 
-  /** Value of a copy that only stands in for endpoints that fail, in requests a second. */
+  /**
+   * Value of a copy that only stands in for endpoints that fail, in requests a second: more than
+   * that of a rare model nobody waits for, less than that of one somebody waits for.
+   */
   private static final double RESERVE_VALUE = 0.5;
 
   /** What each further copy adds to the value of one, in requests a second. */
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/LoadQueues.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/LoadQueues.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Loads that are wanted at endpoints and have not begun, as the holders of the endpoints tell.
@@ -31,6 +32,15 @@
     }
   }
 
+  /**
+   * Forgets the queues of endpoints that are gone.
+   *
+   * @param known identities of the endpoints that are there
+   */
+  public void retain(Set<String> known) {
+    own.keySet().retainAll(known);
+  }
+
   /**
    * Returns the queues that this VM holds, for its peers.
    *
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
@@ -40,10 +40,13 @@
    */
   private static final double STORE_WEIGHT = 2;
 
-  /** Share of a load's time that each request a second at the endpoint adds: it delays adapters. */
+  /**
+   * Share of a load's time that each request a second at the endpoint adds; about that share of the
+   * requests need an adapter loaded, which waits for the load.
+   */
   private static final double DISTURBANCE = 0.03;
 
-  /** Requests a second at an endpoint that count for that, at most. */
+  /** Requests a second at an endpoint that count for that, at most; more than one copy carries. */
   private static final double MOST_DISTURBED_PER_S = 20;
 
   private final EndpointTable endpoints;
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/LoadQueuesTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/LoadQueuesTests.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 
@@ -31,6 +32,16 @@
     assertEquals(0, queues.backlogMs("e1", 2_000));
   }
 
+  @Test
+  @DisplayName("at endpoints that are gone are not told for ever")
+  void goneEndpoint() {
+    queues.own("e1", Map.of("a", 1_000));
+    queues.own("e2", Map.of("b", 1_000));
+    queues.retain(Set.of("e2"));
+
+    assertEquals(Map.of("e2|b", 1_000), queues.own());
+  }
+
   @Test
   @DisplayName("are told to peers under names that they understand")
   void toldOn() {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -30,7 +30,9 @@
   /** Age after which a want is forgotten unless it is told again, in ms. */
   private static final long WANT_VALID_MS = 3_000;
 
-  /** Time in which a copy is wanted that nobody waits for, in ms. */
+  /**
+   * Time in which a copy is wanted that nobody waits for, in ms; more than the goals of callers.
+   */
   private static final long SPREAD_GOAL_MS = 10_000;
 
   private final NodeContext node;
@@ -198,6 +200,7 @@
   }
 
   private void tellQueues() {
+    node.queues().retain(node.endpoints().ids());
     for (Endpoint e : node.endpoints().all()) {
       OrderBook book = books.get(e.id());
       Optional<EngineInfo> engine = engine(e.entry().service());
