Log how long a read was out, what other VMs know, and what the event loop does

The lines could not tell a store that did not wake a read from a read at a wrong offset: a line 'records' now gives offset, the store's end and the time the read was out, 'configuration_elsewhere' what a digest said meanwhile, and a refused unknown route its host, path and the age of the configuration. No decision is changed.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
@@ -7,6 +7,7 @@
 import io.kumquatspindle.engine.fleet.LoadQueues;
 import io.kumquatspindle.engine.fleet.ModelDemand;
 import io.kumquatspindle.engine.fleet.RunningBoard;
+import io.kumquatspindle.node.observe.DutyClock;
 import io.kumquatspindle.node.observe.EventLog;
 import io.netty.channel.EventLoop;
 import java.util.Optional;
@@ -31,8 +32,10 @@
   private final ModelDemand demand = new ModelDemand();
   private final RunningBoard running = new RunningBoard();
   private final LoadQueues queues = new LoadQueues();
+  private final DutyClock duties;
   private final long startedMs;
   private Optional<FleetConfiguration> configuration = Optional.empty();
+  private long configurationConfirmedMs;
   private long stopMs;
   private boolean endpointsRead;
   private boolean stopping;
@@ -57,6 +60,7 @@
     this.clock = clock;
     this.log = log;
     this.metrics = metrics;
+    this.duties = new DutyClock(metrics, System::nanoTime);
     this.startedMs = clock.nowMs();
   }
 
@@ -84,6 +88,10 @@
     return metrics;
   }
 
+  public DutyClock duties() {
+    return duties;
+  }
+
   public EndpointTable endpoints() {
     return endpoints;
   }
@@ -113,6 +121,15 @@
     configuration = Optional.of(newer);
   }
 
+  /** Notes that the store has answered, so that the configuration is its newest one. */
+  public void configurationConfirmed() {
+    configurationConfirmedMs = now();
+  }
+
+  public long configurationConfirmedMs() {
+    return configurationConfirmedMs;
+  }
+
   /** Notes that the entries of all endpoints have been read. */
   public void endpointsRead() {
     endpointsRead = true;
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -11,6 +11,7 @@
 import io.kumquatspindle.node.front.FrontServer;
 import io.kumquatspindle.node.front.PageServer;
 import io.kumquatspindle.node.observe.EventLog;
+import io.kumquatspindle.node.observe.Vitals;
 import io.kumquatspindle.node.order.OrderController;
 import io.kumquatspindle.node.order.Owners;
 import io.kumquatspindle.node.order.WaitRoom;
@@ -148,15 +149,22 @@
     node.log().line("start").field("settings", node.settings().toString()).write();
     configurations.read();
     endpoints.read();
-    every(GROUP_TICK_MS, this::groupTick);
-    every(TICK_MS, this::tick);
-    every(Peers.DIGEST_MS, () -> quotas.tell(owners.fence(), owners.held()));
-    every(SPREAD_MS, orders::spread);
-    every(SPREAD_MS, orders::prefetch);
+    every(GROUP_TICK_MS, "group", this::groupTick);
+    every(TICK_MS, "waits", waits::tick);
+    every(TICK_MS, "orders", orders::tick);
+    every(Peers.DIGEST_MS, "tell", () -> quotas.tell(owners.fence(), owners.held()));
+    every(SPREAD_MS, "spread", orders::spread);
+    every(SPREAD_MS, "prefetch", orders::prefetch);
+    Vitals vitals = new Vitals(node.log(), node.metrics());
+    every(
+        Vitals.EVERY_MS,
+        "vitals",
+        () -> vitals.write(peers.vms() - 1, peers.heardCount(), waits.waiting()));
   }
 
-  private void every(long ms, Runnable task) {
-    node.loop().scheduleWithFixedDelay(() -> guarded(task), ms, ms, TimeUnit.MILLISECONDS);
+  private void every(long ms, String duty, Runnable task) {
+    Runnable counted = () -> node.duties().run(duty, () -> guarded(task));
+    node.loop().scheduleWithFixedDelay(counted, ms, ms, TimeUnit.MILLISECONDS);
   }
 
   private void guarded(Runnable task) {
@@ -193,23 +201,25 @@
         .forEach(e -> e.avoid(until));
   }
 
-  private void tick() {
-    orders.tick();
-    waits.tick();
-  }
-
   private PageServer.Page readiness() {
     boolean ready = node.known() && !node.stopping();
     return new PageServer.Page(ready ? 200 : 503, ready ? "ready" : "not ready");
   }
 
   private void onMessage(PeerMessage message) {
+    String kind = message.label();
+    node.metrics().counter(MetricsText.name("peer_received_total", "kind", kind)).inc();
+    node.duties().run("heard_" + kind, () -> take(message));
+  }
+
+  private void take(PeerMessage message) {
     if (message instanceof PeerMessage.Digest d) {
       peers.heard(d);
       quotas.heard(d);
       owners.heard(d);
       long version = node.configuration().map(FleetConfiguration::version).orElse(0L);
       if (d.configuration() > version) {
+        state.newerElsewhere(d.configuration(), d.address(), configurations.outMs());
         configurations.read();
       }
     } else if (message instanceof PeerMessage.Known k) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/FleetState.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/FleetState.java
@@ -17,6 +17,7 @@
   private final NodeContext node;
   private final RecordDecoder decoder;
   private final Consumer<FleetConfiguration> configured;
+  private long newestElsewhere;
 
   /**
    * Creates the keeper.
@@ -51,11 +52,37 @@
         }
       }
 
+      @Override
+      public void confirmed() {
+        node.configurationConfirmed();
+      }
+
       @Override
       public void regained(long afterMs) {}
     };
   }
 
+  /**
+   * Notes that another VM has a newer configuration; one line for each version.
+   *
+   * @param version version that the other VM has in force
+   * @param peer address of the other VM
+   * @param readOutMs how long the read of this VM has been out, in ms; -1 if none is
+   */
+  public void newerElsewhere(long version, String peer, long readOutMs) {
+    if (version <= newestElsewhere) {
+      return;
+    }
+    newestElsewhere = version;
+    node.log()
+        .line("configuration_elsewhere")
+        .field("version", version)
+        .field("version_here", node.configuration().map(FleetConfiguration::version).orElse(0L))
+        .field("peer", peer)
+        .field("read_out_ms", readOutMs)
+        .write();
+  }
+
   private void configuration(byte[] value) {
     long before = node.configuration().map(FleetConfiguration::version).orElse(0L);
     try {
@@ -100,6 +127,9 @@
         endpoint(record.key(), record.value());
       }
 
+      @Override
+      public void confirmed() {}
+
       @Override
       public void regained(long afterMs) {
         node.endpoints().storeBack(node.now());
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/Follower.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/Follower.java
@@ -3,6 +3,7 @@
 import io.kumquatspindle.node.NodeContext;
 import io.kumquatspindle.node.port.RecordStore;
 import java.util.List;
+import java.util.Locale;
 import java.util.OptionalLong;
 
 /**
@@ -27,6 +28,7 @@
   private long failurePauseMs = FAILURE_PAUSE_MS;
   private boolean failing;
   private boolean reading;
+  private long sentMs;
 
   /** Gets what is read. All calls are made on the event loop. */
   public interface Listener {
@@ -44,6 +46,9 @@
      */
     void one(RecordStore.KeyedRecord record);
 
+    /** The store has answered: what has been read is complete until now. */
+    void confirmed();
+
     /**
      * The store answers again.
      *
@@ -83,6 +88,7 @@
       return;
     }
     reading = true;
+    sentMs = node.now();
     if (next.isEmpty()) {
       store.newest(topic, this::onAnswer);
     } else {
@@ -90,12 +96,43 @@
     }
   }
 
+  /**
+   * Returns how long the read in progress has been out.
+   *
+   * @return time in ms; -1 if there is none
+   */
+  public long outMs() {
+    return reading ? node.now() - sentMs : -1;
+  }
+
+  /** Configurations are rare; a line for each answer about endpoints would say little. */
+  private void log(RecordStore.ReadAnswer.Records r) {
+    if (topic != RecordStore.Topic.CONFIGURATION || r.records().isEmpty()) {
+      return;
+    }
+    node.log()
+        .line("records")
+        .field("topic", topic.name())
+        .field("from", next.orElse(-1))
+        .field("records", r.records().size())
+        .field("next", r.next())
+        .field("end", r.end())
+        .field("wait_ms", next.isEmpty() ? 0 : waitMs)
+        .field("out_ms", node.now() - sentMs)
+        .write();
+  }
+
   private void onAnswer(RecordStore.ReadAnswer answer) {
+    node.duties().run("records_" + topic.name().toLowerCase(Locale.ROOT), () -> take(answer));
+  }
+
+  private void take(RecordStore.ReadAnswer answer) {
     reading = false;
     long pause = pauseMs;
     if (answer instanceof RecordStore.ReadAnswer.Records r) {
       regained();
       boolean first = next.isEmpty();
+      log(r);
       next = OptionalLong.of(r.next());
       if (first) {
         listener.all(r.records());
@@ -103,6 +140,7 @@
       } else {
         r.records().forEach(listener::one);
       }
+      listener.confirmed();
     } else if (answer instanceof RecordStore.ReadAnswer.Forgotten) {
       regained();
       node.log().line("records_forgotten").field("topic", topic.name()).write();
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Admission.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Admission.java
@@ -45,6 +45,15 @@
   }
 
   /** Charges the customer's rate; returns whether it allows the request. */
+  /** Describes what was asked for and how old the knowledge is by which it was denied. */
+  String describeDenied(CallHead head, String path) {
+    return head.host() + path + " configuration confirmed " + confirmedMs() + " ms ago";
+  }
+
+  private long confirmedMs() {
+    return parts.node().now() - parts.node().configurationConfirmedMs();
+  }
+
   boolean charge(CallHead head) {
     if (customer.isEmpty()) {
       return true;
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -64,7 +64,7 @@
     }
     Optional<ErrorKind> denied = admission.checkNew(head, path());
     if (denied.isPresent()) {
-      fail(denied.get(), DEFAULT_RETRY_MS, "");
+      fail(denied.get(), DEFAULT_RETRY_MS, admission.describeDenied(head, path()));
       return;
     }
     deadlineMs = arrivedMs + Math.min(head.deadlineMs(), route().timeoutMs());
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontHandler.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontHandler.java
@@ -93,7 +93,7 @@
     if (node.starting()) {
       node.after(START_LOOK_MS, () -> startWhenKnown(exchange));
     } else {
-      exchange.start();
+      node.duties().run("front", exchange::start);
     }
   }
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -91,12 +91,18 @@
     }
     long now = node.now();
     String domain = node.settings().domain();
-    Optional<Endpoint> chosen =
-        chooser.choose(service, engine.get(), model, adapter, domain, Set.of(), now);
-    if (chosen.isEmpty()) {
-      return;
-    }
-    Endpoint e = chosen.get();
+    node.duties()
+        .run(
+            "choose",
+            () ->
+                chooser
+                    .choose(service, engine.get(), model, adapter, domain, Set.of(), now)
+                    .ifPresent(e -> want(e, model, adapter, goalMs, asked)));
+  }
+
+  private void want(
+      Endpoint e, String model, String adapter, long goalMs, Map<String, Integer> asked) {
+    long now = node.now();
     int times = asked.merge(e.id(), 1, Integer::sum);
     String its = e.entry().domain();
     boolean own = owners.holds(e.id(), its);
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerMessage.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerMessage.java
@@ -6,6 +6,15 @@
 /** A message between two VMs. */
 public sealed interface PeerMessage {
 
+  /**
+   * Returns the name of the kind of message, for logs and metrics.
+   *
+   * @return name in lower case
+   */
+  default String label() {
+    return getClass().getSimpleName().toLowerCase(java.util.Locale.ROOT);
+  }
+
   /**
    * What a VM tells all others several times a second.
    *
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerNetwork.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerNetwork.java
@@ -1,5 +1,6 @@
 package io.kumquatspindle.node.peer;
 
+import io.kumquatspindle.api.metrics.MetricsText;
 import io.kumquatspindle.node.NodeContext;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -99,9 +100,12 @@
     write(c, message);
   }
 
-  private static void write(Channel c, PeerMessage message) {
+  private void write(Channel c, PeerMessage message) {
     try {
-      c.writeAndFlush(Unpooled.wrappedBuffer(PeerCodec.encode(message)));
+      byte[] encoded = PeerCodec.encode(message);
+      node.metrics().counter(MetricsText.name("peer_sent_total", "kind", message.label())).inc();
+      node.metrics().counter("peer_sent_bytes_total").inc(encoded.length);
+      c.writeAndFlush(Unpooled.wrappedBuffer(encoded));
     } catch (IOException e) {
       throw new IllegalStateException("a message could not be encoded", e);
     }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
@@ -206,8 +206,12 @@
     return (double) heardCount() / vms();
   }
 
-  /** Returns the number of VMs that this one hears, itself included. */
-  int heardCount() {
+  /**
+   * Returns the number of VMs that this one hears.
+   *
+   * @return at least 1, this VM included
+   */
+  public int heardCount() {
     return 1 + (int) byAddress.keySet().stream().filter(this::audible).count();
   }
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/port/RecordStore.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/port/RecordStore.java
@@ -35,8 +35,9 @@
      *
      * @param records the records
      * @param next offset after the last of them
+     * @param end offset after the last record that the store had when it answered
      */
-    record Records(List<KeyedRecord> records, long next) implements ReadAnswer {}
+    record Records(List<KeyedRecord> records, long next, long end) implements ReadAnswer {}
 
     /** The records asked for have been deleted. */
     record Forgotten() implements ReadAnswer {}
--- /dev/null
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/observe/VitalsTests.java
@@ -0,0 +1,53 @@
+package io.kumquatspindle.node.observe;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("Vitals")
+class VitalsTests {
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final AtomicLong nanos = new AtomicLong();
+  private final DutyClock duties = new DutyClock(metrics, nanos::get);
+
+  @Test
+  @DisplayName("count the time of a duty that runs inside another one once")
+  void nested() {
+    duties.run(
+        "outer",
+        () -> {
+          nanos.addAndGet(2_000_000);
+          duties.run("inner", () -> nanos.addAndGet(5_000_000));
+          nanos.addAndGet(1_000_000);
+        });
+
+    assertEquals(3_000, metrics.counter("duty_us_total{duty=\"outer\"}").getCount());
+    assertEquals(5_000, metrics.counter("duty_us_total{duty=\"inner\"}").getCount());
+  }
+
+  @Test
+  @DisplayName("show what has grown since the last line, and nothing else")
+  void grown() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    EventLog log = new EventLog(out, () -> 0, "vm", new Counter());
+    Vitals vitals = new Vitals(log, metrics);
+    metrics.counter("store_calls_total").inc(7);
+    vitals.write(3, 2, 1);
+    metrics.counter("peer_received_total{kind=\"digest\"}").inc(4);
+    vitals.write(3, 4, 0);
+    log.close();
+
+    String[] lines = out.toString(StandardCharsets.UTF_8).split("\n");
+    assertTrue(lines[0].contains("\"store_calls\":7"), lines[0]);
+    assertTrue(lines[1].contains("\"peer_received{kind=digest}\":4"), lines[1]);
+    assertFalse(lines[1].contains("store_calls"), lines[1]);
+  }
+}
