--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -220,7 +220,7 @@
       long version = node.configuration().map(FleetConfiguration::version).orElse(0L);
       if (d.configuration() > version) {
         state.newerElsewhere(d.configuration(), d.address(), configurations.outMs());
-        configurations.read();
+        configurations.readNewer();
       }
     } else if (message instanceof PeerMessage.Known k) {
       peers.told(k);
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/Follower.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/Follower.java
@@ -122,6 +122,11 @@
         .write();
   }
 
+  /** Reads what another VM is known to have read already. */
+  public void readNewer() {
+    read();
+  }
+
   private void onAnswer(RecordStore.ReadAnswer answer) {
     node.duties().run("records_" + topic.name().toLowerCase(Locale.ROOT), () -> take(answer));
   }
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/TestNodes.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/TestNodes.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.kumquatspindle.node.observe.EventLog;
+import io.netty.channel.EventLoop;
 import java.io.OutputStream;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
@@ -34,9 +35,23 @@
    * @return the context
    */
   public static NodeContext of(AtomicLong now, OutputStream output, String... domains) {
+    return of(now, null, output, domains);
+  }
+
+  /**
+   * Returns the context of a program on a VM of the first failure domain.
+   *
+   * @param now the clock, in ms
+   * @param loop runs what is scheduled
+   * @param output where log lines go
+   * @param domains all failure domains
+   * @return the context
+   */
+  public static NodeContext of(
+      AtomicLong now, EventLoop loop, OutputStream output, String... domains) {
     return new NodeContext(
         settings(List.of(domains)),
-        null,
+        loop,
         now::get,
         new EventLog(output, now::get, "vm", new Counter()),
         new MetricRegistry());
--- /dev/null
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/follow/TopicStandIn.java
@@ -0,0 +1,83 @@
+package io.kumquatspindle.node.follow;
+
+import io.kumquatspindle.node.port.RecordStore;
+import io.netty.channel.EventLoop;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * One topic of a store whose appends do not wake the reads that wait, as the users' store does not
+ * when both come at the same time: such a read gets the record when its wait is over.
+ */
+final class TopicStandIn implements RecordStore {
+  private final EventLoop loop;
+  private final List<KeyedRecord> records = new ArrayList<>();
+  private final List<Long> waits = new ArrayList<>();
+  private boolean silent;
+
+  TopicStandIn(EventLoop loop) {
+    this.loop = loop;
+  }
+
+  void append(String value) {
+    records.add(new KeyedRecord("k", Optional.of(value.getBytes(StandardCharsets.UTF_8))));
+  }
+
+  /** From now on reads are not answered at all. */
+  void silence() {
+    silent = true;
+  }
+
+  /** Returns the longest waits that reads asked for, in order. */
+  List<Long> waits() {
+    return List.copyOf(waits);
+  }
+
+  @Override
+  public void newest(Topic topic, Consumer<ReadAnswer> answer) {
+    answer(answer, Math.max(0, records.size() - 1));
+  }
+
+  @Override
+  public void read(Topic topic, long from, long waitMs, Consumer<ReadAnswer> answer) {
+    waits.add(waitMs);
+    if (records.size() > from || waitMs == 0) {
+      loop.execute(() -> answer(answer, from));
+    } else {
+      loop.schedule(() -> answer(answer, from), waitMs, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void answer(Consumer<ReadAnswer> answer, long from) {
+    if (!silent) {
+      List<KeyedRecord> rest = List.copyOf(records.subList((int) from, records.size()));
+      answer.accept(new ReadAnswer.Records(rest, records.size(), records.size()));
+    }
+  }
+
+  @Override
+  public void join(
+      String group, String member, long generation, long ttlMs, Consumer<Optional<Joined>> answer) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public void leave(String group, String member, Runnable done) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public void owners(String group, Consumer<Optional<Map<Integer, String>>> answer) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public int partitions() {
+    throw new UnsupportedOperationException();
+  }
+}
