Read a newer configuration at once although a read waits at the store

Cause: a VM took the silence of its own long read as 'nothing new', for 2.5 s, although config_ms is 2 s, and passed over digests that named a newer version, because a read was out. The store sometimes doesn't wake a read that arrives together with the append.

Now a digest that names a newer version causes a read that does not wait, whatever is out, at most every 300 ms; the read that waits is abandoned when that one brought something. Without such a digest, a read waits for half of the time in which a version has to be in force, a setting that the template takes from the platform's bounds.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -34,9 +34,6 @@
 
 /** The node program: builds its parts, runs them on one event loop, and stops them in order. */
 public final class NodeProgram {
-  /** Longest wait of a read of the configuration at the store, in ms. */
-  private static final long CONFIGURATION_WAIT_MS = 2_500;
-
   /**
    * Pause between reads of the configuration, in ms; versions in quick succession come together.
    */
@@ -118,7 +115,7 @@
             node,
             store,
             RecordStore.Topic.CONFIGURATION,
-            CONFIGURATION_WAIT_MS,
+            settings.configurationWaitMs(),
             CONFIGURATION_PAUSE_MS,
             state.configurations());
     endpoints =
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeSettings.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeSettings.java
@@ -21,6 +21,7 @@
  * @param storePort port of the store
  * @param storePartitions partitions of a topic
  * @param groupTtlMinMs least time to live of a group's member, in ms
+ * @param configurationMs time in which a configuration has to be in force, in ms
  * @param fenced whether endpoints refuse lower fencing numbers
  * @param leaseMs time between orders of two holders, in ms
  * @param budgetWindowMs window of the budget for second sends, in ms
@@ -43,6 +44,7 @@
     int storePort,
     int storePartitions,
     long groupTtlMinMs,
+    long configurationMs,
     boolean fenced,
     long leaseMs,
     long budgetWindowMs,
@@ -81,6 +83,7 @@
             store.port(),
             (int) s.number("store", "partitions", 8, 1, 1_000),
             s.number("store", "member_ttl_min_ms", 1_000, 1, HOUR_MS),
+            s.number("configuration", "in_force_ms", 2_000, 1, HOUR_MS),
             s.flag("orders", "fencing", false),
             s.number("orders", "lease_ms", 3_000, 0, HOUR_MS),
             s.number("second_sends", "window_s", 10, 1, 3_600) * 1_000,
@@ -92,6 +95,16 @@
     return result;
   }
 
+  /**
+   * Returns the longest wait of a read of the configuration at the store. The store may miss to
+   * wake a read; half of the time that there is leaves the other half for the next one.
+   *
+   * @return time in ms
+   */
+  public long configurationWaitMs() {
+    return configurationMs / 2;
+  }
+
   private static double decimal(Settings s, String section, String key) {
     return s.value(section, key, "a number that is not negative", NodeSettings::notNegative)
         .orElse(0.0);
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/Follower.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/Follower.java
@@ -29,6 +29,8 @@
   private boolean failing;
   private boolean reading;
   private long sentMs;
+  private long newestRead;
+  private long newerSentMs = Long.MIN_VALUE / 2;
 
   /** Gets what is read. All calls are made on the event loop. */
   public interface Listener {
@@ -89,10 +91,37 @@
     }
     reading = true;
     sentMs = node.now();
+    long id = ++newestRead;
     if (next.isEmpty()) {
-      store.newest(topic, this::onAnswer);
+      store.newest(topic, a -> onAnswer(id, a));
     } else {
-      store.read(topic, next.getAsLong(), waitMs, this::onAnswer);
+      store.read(topic, next.getAsLong(), waitMs, a -> onAnswer(id, a));
+    }
+  }
+
+  /**
+   * Reads what another VM is known to have read already, also while a read waits: the store may
+   * have missed to wake it, or its connection may be silent.
+   */
+  public void readNewer() {
+    if (next.isEmpty() || node.now() - newerSentMs < FAILURE_PAUSE_MS) {
+      return;
+    }
+    newerSentMs = node.now();
+    store.read(topic, next.getAsLong(), 0, a -> counted(() -> onNewer(a)));
+  }
+
+  private void onNewer(RecordStore.ReadAnswer answer) {
+    if (answer instanceof RecordStore.ReadAnswer.Records r && r.next() > next.orElse(0)) {
+      // The read that waits asks for what is known now; its answer is not waited for.
+      newestRead++;
+      take(answer);
+    } else if (answer instanceof RecordStore.ReadAnswer.Failed f) {
+      node.log()
+          .line("read_failed")
+          .field("topic", topic.name())
+          .field("reason", f.reason())
+          .write();
     }
   }
 
@@ -122,13 +151,14 @@
         .write();
   }
 
-  /** Reads what another VM is known to have read already. */
-  public void readNewer() {
-    read();
+  private void onAnswer(long id, RecordStore.ReadAnswer answer) {
+    if (id == newestRead) {
+      counted(() -> take(answer));
+    }
   }
 
-  private void onAnswer(RecordStore.ReadAnswer answer) {
-    node.duties().run("records_" + topic.name().toLowerCase(Locale.ROOT), () -> take(answer));
+  private void counted(Runnable task) {
+    node.duties().run("records_" + topic.name().toLowerCase(Locale.ROOT), task);
   }
 
   private void take(RecordStore.ReadAnswer answer) {
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/TestNodes.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/TestNodes.java
@@ -72,6 +72,7 @@
         80,
         8,
         1_000,
+        2_000,
         true,
         3_000,
         10_000,
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/follow/MissedWakeUpTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/follow/MissedWakeUpTests.java
@@ -1,8 +1,10 @@
 package io.kumquatspindle.node.follow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.kumquatspindle.node.NodeContext;
+import io.kumquatspindle.node.NodeSettings;
 import io.kumquatspindle.node.TestNodes;
 import io.kumquatspindle.node.port.RecordStore;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -63,6 +65,51 @@
     assertEquals(List.of("1", "2"), seen);
   }
 
+  @Test
+  @DisplayName("does not keep a version back for longer than it may, when no other VM tells of it")
+  void toldByNobody() {
+    NodeSettings settings = node.settings();
+    Follower alone =
+        new Follower(
+            node,
+            store,
+            RecordStore.Topic.CONFIGURATION,
+            settings.configurationWaitMs(),
+            PAUSE_MS,
+            new Recorder(seen));
+    alone.read();
+    pass(PAUSE_MS);
+    seen.clear();
+    store.append("2");
+    pass(settings.configurationMs() - 1);
+
+    assertEquals(List.of("2"), seen);
+  }
+
+  @Test
+  @DisplayName("brings nothing twice when it ends after a newer one")
+  void endsLater() {
+    store.append("2");
+    pass(40);
+    follower.readNewer();
+    store.append("3");
+    pass(2 * WAIT_MS);
+
+    assertEquals(List.of("1", "2", "3"), seen);
+  }
+
+  @Test
+  @DisplayName("is not followed by more than a few others, however often VMs tell of a version")
+  void toldOften() {
+    store.silence();
+    for (int i = 0; i < 50; i++) {
+      follower.readNewer();
+      pass(20);
+    }
+
+    assertTrue(store.waits().size() <= 5, store.waits().toString());
+  }
+
   /** Keeps what was read, in order. */
   private record Recorder(List<String> seen) implements Follower.Listener {
     @Override
