Find the holders of a model once instead of for each endpoint

Cause, one of two: to choose where a model is to be loaded, all endpoints were gone through again for each model of each endpoint, and the loads and runs that each peer told of for each of them; what to fetch beforehand did so for each model without a copy. The work grew with the square of the endpoints.

The endpoint table now keeps the holders of a model until one of them changes; loads that wait and requests in progress are kept by endpoint; what a load would harm is only reckoned where it could still be chosen; the plan of what to fetch is made once for all endpoints. Choices are the same but for the order among equals, which takes another hash.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/CopyPolicy.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/CopyPolicy.java
@@ -1,8 +1,7 @@
 package io.kumquatspindle.engine.fleet;
 
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
-import java.util.stream.Collectors;
 
 /**
  * How many copies of a model are needed, and what a copy is worth. Answers demand that moves
@@ -84,17 +83,33 @@
     double rate = demand.rate(model, now);
     // Many callers do not wait for a copy that comes later than the endpoint's own would.
     long byMs = rate >= HOT_PER_S ? now + loadMs : Long.MAX_VALUE;
-    List<Endpoint> others =
-        endpoints.of(service).stream()
-            .filter(e -> !e.id().equals(endpoint.id()) && !e.avoided(now))
-            .filter(e -> e.holds(model, "", now) || comes(e, model, byMs, now))
-            .toList();
+    List<Endpoint> others = new ArrayList<>(holders(service, model, now));
+    others.addAll(coming(service, model, byMs, now));
+    others.removeIf(e -> e.id().equals(endpoint.id()) || e.avoided(now));
     if (others.isEmpty() || rate / others.size() > COPY_PER_S) {
       return true;
     }
     return rate >= HOT_PER_S && others.stream().noneMatch(e -> sameDomain(e, endpoint));
   }
 
+  /**
+   * Tells whether any further copy of a model in demand may be needed in a failure domain. Cheaper
+   * than the question for each endpoint, and never false where the answer for one is true.
+   *
+   * @param service name of the service
+   * @param model name of the model
+   * @param domain the failure domain
+   * @param now present time, in ms
+   * @return whether the copies that there are do not suffice
+   */
+  public boolean scarce(String service, String model, String domain, long now) {
+    List<Endpoint> holders =
+        holders(service, model, now).stream().filter(e -> !e.avoided(now)).toList();
+    return holders.isEmpty()
+        || demand.rate(model, now) / holders.size() > COPY_PER_S
+        || holders.stream().noneMatch(e -> e.entry().domain().equals(domain));
+  }
+
   /**
    * Tells whether callers would hardly miss an endpoint's copy of a model.
    *
@@ -109,13 +124,16 @@
 
   /** Tells whether the other copies carry the demand and leave a number in reserve. */
   private boolean beyond(Endpoint endpoint, String model, int reserve, long now) {
-    List<Endpoint> others =
-        holders(endpoint.entry().service(), model, now).stream()
-            .filter(e -> !e.id().equals(endpoint.id()))
-            .toList();
     double rate = demand.rate(model, now);
-    boolean near = rate < HOT_PER_S || others.stream().anyMatch(e -> sameDomain(e, endpoint));
-    return near && others.size() >= reserve + Math.max(1, Math.ceil(rate / COPY_PER_S));
+    boolean near = rate < HOT_PER_S;
+    int others = 0;
+    for (Endpoint e : holders(endpoint.entry().service(), model, now)) {
+      if (!e.id().equals(endpoint.id())) {
+        others++;
+        near = near || sameDomain(e, endpoint);
+      }
+    }
+    return near && others >= reserve + Math.max(1, Math.ceil(rate / COPY_PER_S));
   }
 
   /**
@@ -158,25 +176,24 @@
    * @return requests a second, each model's divided by its copies
    */
   public double rateAt(Endpoint endpoint, long now) {
-    String service = endpoint.entry().service();
-    Set<String> asked =
-        endpoint.models(now).stream()
-            .filter(m -> demand.rate(m, now) > 0)
-            .collect(Collectors.toSet());
-    return asked.stream()
-        .mapToDouble(m -> demand.rate(m, now) / Math.max(1, copies(service, m, now)))
-        .sum();
+    double sum = 0;
+    for (String m : endpoint.models(now)) {
+      double rate = demand.rate(m, now);
+      sum += rate > 0 ? rate / Math.max(1, copies(endpoint.entry().service(), m, now)) : 0;
+    }
+    return sum;
   }
 
-  private boolean comes(Endpoint e, String model, long byMs, long now) {
-    return loads
-        .at(e.id(), now)
-        .filter(l -> l.model().equals(model) && l.untilMs() <= byMs)
-        .isPresent();
+  private List<Endpoint> coming(String service, String model, long byMs, long now) {
+    return loads.loading(model, byMs, now).stream()
+        .flatMap(id -> endpoints.find(id).stream())
+        .filter(e -> e.entry().service().equals(service) && !e.entry().leaving())
+        .filter(e -> !e.holds(model, "", now))
+        .toList();
   }
 
   private List<Endpoint> holders(String service, String model, long now) {
-    return endpoints.of(service).stream().filter(e -> e.holds(model, "", now)).toList();
+    return endpoints.holders(service, model, now);
   }
 
   private static boolean sameDomain(Endpoint a, Endpoint b) {
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Endpoint.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Endpoint.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * What this VM believes of one endpoint: its latest entry, corrected by newer knowledge of single
@@ -33,6 +34,8 @@
   private static final int MOST_DOUBLINGS = 3;
 
   private final Map<String, News> news = new HashMap<>();
+  private final Consumer<String> changed;
+  private final long hash;
   private EndpointEntry entry;
   private int inFlight;
   private Optional<AnswerHead.Load> load = Optional.empty();
@@ -42,8 +45,21 @@
   private long avoidUntilMs;
   private int unreachable;
 
-  Endpoint(EndpointEntry entry) {
+  /**
+   * Creates the belief of an endpoint.
+   *
+   * @param entry its entry
+   * @param changed told the name of a model of which the endpoint may hold no longer what it held
+   */
+  Endpoint(EndpointEntry entry, Consumer<String> changed) {
     this.entry = entry;
+    this.changed = changed;
+    this.hash = Hashes.of(entry.id());
+  }
+
+  /** Returns a hash of the identity. */
+  long hash() {
+    return hash;
   }
 
   public EndpointEntry entry() {
@@ -146,7 +162,15 @@
     if (!held && adapter.isEmpty()) {
       news.keySet().removeIf(k -> k.startsWith(model + "/"));
     }
+    news.values().removeIf(n -> now >= n.untilMs());
     news.put(key(model, adapter), new News(held, now + NEWS_VALID_MS));
+    changed.accept(model);
+  }
+
+  /** Returns when the news of a model ends, in ms, or {@link Long#MAX_VALUE} if there is none. */
+  long newsUntilMs(String model, long now) {
+    News n = news.isEmpty() ? null : news.get(key(model, ""));
+    return n == null || now >= n.untilMs() ? Long.MAX_VALUE : n.untilMs();
   }
 
   /**
@@ -199,7 +223,7 @@
   }
 
   private boolean heldNow(String model, String adapter, long now) {
-    News n = news.get(key(model, adapter));
+    News n = news.isEmpty() ? null : news.get(key(model, adapter));
     if (n != null && now < n.untilMs()) {
       return n.held();
     }
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
@@ -15,6 +15,7 @@
   static final long RETURN_GRACE_MS = 2_000;
 
   private final Map<String, Endpoint> byId = new HashMap<>();
+  private final HolderIndex holders = new HolderIndex();
   private final Map<String, Long> lapsed = new HashMap<>();
   private long storeBackMs = Long.MIN_VALUE / 2;
 
@@ -27,12 +28,28 @@
     lapsed.remove(entry.id());
     Endpoint known = byId.get(entry.id());
     if (known == null || known.entry().bornMs() != entry.bornMs()) {
-      byId.put(entry.id(), new Endpoint(entry));
+      byId.put(entry.id(), new Endpoint(entry, holders::changed));
+      holders.clear();
     } else {
+      changed(known.entry(), entry);
       known.entry(entry);
     }
   }
 
+  private void changed(EndpointEntry before, EndpointEntry after) {
+    if (before.leaving() != after.leaving() || !before.service().equals(after.service())) {
+      holders.clear();
+    } else if (!before.models().equals(after.models())) {
+      before.models().forEach(m -> holders.changed(m.name()));
+      after.models().forEach(m -> holders.changed(m.name()));
+    }
+  }
+
+  private void drop(String id) {
+    byId.remove(id);
+    holders.clear();
+  }
+
   /**
    * Takes the removal of an entry; just after an outage of the store it may be back soon.
    *
@@ -43,7 +60,7 @@
     if (now - storeBackMs < RETURN_GRACE_MS && byId.containsKey(id)) {
       lapsed.put(id, storeBackMs + RETURN_GRACE_MS);
     } else {
-      byId.remove(id);
+      drop(id);
     }
   }
 
@@ -83,7 +100,7 @@
           }
         });
     gone.forEach(lapsed::remove);
-    gone.forEach(byId::remove);
+    gone.forEach(this::drop);
     return gone;
   }
 
@@ -97,15 +114,6 @@
     return Optional.ofNullable(byId.get(id));
   }
 
-  /**
-   * Returns the identities of the known endpoints.
-   *
-   * @return identities
-   */
-  public Set<String> ids() {
-    return Set.copyOf(byId.keySet());
-  }
-
   public Collection<Endpoint> all() {
     return byId.values();
   }
@@ -117,8 +125,33 @@
    * @return endpoints, in no order
    */
   public List<Endpoint> of(String service) {
-    return byId.values().stream()
-        .filter(e -> e.entry().service().equals(service) && !e.entry().leaving())
-        .toList();
+    return holders.of(
+        service,
+        () ->
+            byId.values().stream()
+                .filter(e -> e.entry().service().equals(service) && !e.entry().leaving())
+                .toList());
+  }
+
+  /**
+   * Returns the endpoints of a service that take new work and hold a model.
+   *
+   * @param service name of the service
+   * @param model name of the model
+   * @param now present time, in ms
+   * @return endpoints, in no order
+   */
+  public List<Endpoint> holders(String service, String model, long now) {
+    return holders.holders(service, model, of(service), now);
+  }
+
+  /**
+   * Tells whether an endpoint is known.
+   *
+   * @param id identity of the endpoint
+   * @return whether it is
+   */
+  public boolean knows(String id) {
+    return byId.containsKey(id);
   }
 }
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/LoadBoard.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/LoadBoard.java
@@ -1,9 +1,10 @@
 package io.kumquatspindle.engine.fleet;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.function.Predicate;
 
 /** Loads in progress at all endpoints, as their holders tell. One owner thread. */
 public final class LoadBoard {
@@ -46,11 +47,27 @@
   /**
    * Forgets the loads of endpoints that are gone, so that they do not take the weight store's room.
    *
-   * @param known identities of the endpoints that are there
+   * @param known tells whether an endpoint is there, by identity
    */
-  public void retain(Set<String> known) {
-    byEndpoint.keySet().retainAll(known);
-    endedMs.keySet().retainAll(known);
+  public void retain(Predicate<String> known) {
+    byEndpoint.keySet().removeIf(known.negate());
+    endedMs.keySet().removeIf(known.negate());
+  }
+
+  /**
+   * Returns the endpoints that are loading a model.
+   *
+   * @param model name of the model
+   * @param byMs when the load has to be expected to end at the latest, in ms
+   * @param now present time, in ms
+   * @return their identities
+   */
+  public List<String> loading(String model, long byMs, long now) {
+    return byEndpoint.entrySet().stream()
+        .filter(e -> e.getValue().model().equals(model) && e.getValue().untilMs() <= byMs)
+        .filter(e -> now < e.getValue().untilMs() + OVERDUE_MS)
+        .map(Map.Entry::getKey)
+        .toList();
   }
 
   /**
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/LoadQueues.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/LoadQueues.java
@@ -1,8 +1,11 @@
 package io.kumquatspindle.engine.fleet;
 
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Loads that are wanted at endpoints and have not begun, as the holders of the endpoints tell.
@@ -16,7 +19,13 @@
   private final Map<String, Map<String, Integer>> own = new HashMap<>();
   private final Map<String, Told> peers = new HashMap<>();
 
-  private record Told(Map<String, Integer> loadMsByKey, long atMs) {}
+  /** Time to load in ms, by endpoint, peer and model. */
+  private final Map<String, Map<String, Map<String, Integer>>> told = new HashMap<>();
+
+  private long lookedMs;
+
+  /** At which endpoints a peer told of loads, and when. */
+  private record Told(Set<String> endpoints, long atMs) {}
 
   /**
    * Takes the queue of an endpoint that this VM holds in place of the earlier one.
@@ -35,10 +44,10 @@
   /**
    * Forgets the queues of endpoints that are gone.
    *
-   * @param known identities of the endpoints that are there
+   * @param known tells whether an endpoint is there, by identity
    */
-  public void retain(Set<String> known) {
-    own.keySet().retainAll(known);
+  public void retain(Predicate<String> known) {
+    own.keySet().removeIf(known.negate());
   }
 
   /**
@@ -60,7 +69,31 @@
    * @param now present time, in ms
    */
   public void told(String peer, Map<String, Integer> loadMsByKey, long now) {
-    peers.put(peer, new Told(loadMsByKey, now));
+    forget(peer);
+    if (loadMsByKey.isEmpty()) {
+      return;
+    }
+    Set<String> endpoints = new HashSet<>();
+    loadMsByKey.forEach(
+        (key, ms) -> {
+          int bar = Math.max(0, key.indexOf('|'));
+          String endpoint = key.substring(0, bar);
+          endpoints.add(endpoint);
+          told.computeIfAbsent(endpoint, e -> new HashMap<>())
+              .computeIfAbsent(peer, p -> new HashMap<>())
+              .put(key.substring(bar + 1), ms);
+        });
+    peers.put(peer, new Told(endpoints, now));
+  }
+
+  private void forget(String peer) {
+    Told before = peers.remove(peer);
+    if (before != null) {
+      for (String endpoint : before.endpoints()) {
+        told.get(endpoint).remove(peer);
+        told.computeIfPresent(endpoint, (e, byPeer) -> byPeer.isEmpty() ? null : byPeer);
+      }
+    }
   }
 
   /**
@@ -72,12 +105,9 @@
    */
   public long backlogMs(String endpoint, long now) {
     forgetSilent(now);
-    long ms = own.getOrDefault(endpoint, Map.of()).values().stream().mapToInt(i -> i).sum();
-    String start = key(endpoint, "");
-    for (Told t : peers.values()) {
-      for (Map.Entry<String, Integer> e : t.loadMsByKey().entrySet()) {
-        ms += e.getKey().startsWith(start) ? e.getValue() : 0;
-      }
+    long ms = sum(own.getOrDefault(endpoint, Map.of()));
+    for (Map<String, Integer> byModel : told.getOrDefault(endpoint, Map.of()).values()) {
+      ms += sum(byModel);
     }
     return ms;
   }
@@ -92,13 +122,22 @@
    */
   public boolean queued(String endpoint, String model, long now) {
     forgetSilent(now);
-    String k = key(endpoint, model);
     return own.getOrDefault(endpoint, Map.of()).containsKey(model)
-        || peers.values().stream().anyMatch(t -> t.loadMsByKey().containsKey(k));
+        || told.getOrDefault(endpoint, Map.of()).values().stream()
+            .anyMatch(byModel -> byModel.containsKey(model));
+  }
+
+  private static long sum(Map<String, Integer> loadMsByModel) {
+    return loadMsByModel.values().stream().mapToInt(i -> i).sum();
   }
 
   private void forgetSilent(long now) {
-    peers.values().removeIf(t -> now - t.atMs() > VALID_MS);
+    if (now != lookedMs) {
+      lookedMs = now;
+      List.copyOf(peers.entrySet()).stream()
+          .filter(p -> now - p.getValue().atMs() > VALID_MS)
+          .forEach(p -> forget(p.getKey()));
+    }
   }
 
   private static String key(String endpoint, String model) {
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
@@ -3,7 +3,6 @@
 import io.kumquatspindle.api.fleet.EndpointEntry;
 import io.kumquatspindle.api.fleet.EngineInfo;
 import io.kumquatspindle.api.fleet.ModelInfo;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -101,18 +100,21 @@
     if (info == null) {
       return Optional.empty();
     }
-    Collection<Endpoint> all = endpoints.of(service);
     boolean held =
-        all.stream().anyMatch(e -> e.holds(model, "", now) && !excluded.contains(e.id()));
+        endpoints.holders(service, model, now).stream().anyMatch(e -> !excluded.contains(e.id()));
+    long hash = Hashes.of(model);
     Endpoint best = null;
     double bestMs = 0;
-    for (Endpoint e : all) {
+    for (Endpoint e : endpoints.of(service)) {
       if (excluded.contains(e.id()) || (!adapter.isEmpty() && held && !e.holds(model, "", now))) {
         continue;
       }
-      double ms = costMs(e, engine, info, now);
-      ms += e.entry().domain().equals(domain) ? 0 : OTHER_DOMAIN_MS;
-      ms += (Hashes.of(model + e.id()) & 0xff) * 0.2;
+      double ms = e.entry().domain().equals(domain) ? 0 : OTHER_DOMAIN_MS;
+      ms += (Hashes.of(hash, e.hash()) & 0xff) * 0.2;
+      ms += waitMs(e, info, now);
+      if (best == null || ms < bestMs) {
+        ms += harmMs(e, engine, info, now);
+      }
       if (best == null || ms < bestMs) {
         best = e;
         bestMs = ms;
@@ -141,7 +143,8 @@
     return choose(service, engine, model, "", domain, others, now);
   }
 
-  private double costMs(Endpoint e, EngineInfo engine, ModelInfo model, long now) {
+  /** Returns the time until a load at an endpoint would end, in ms. */
+  private double waitMs(Endpoint e, ModelInfo model, long now) {
     double ms = e.avoided(now) ? AVOIDED_MS : 0;
     if (e.holds(model.name(), "", now)) {
       return ms + e.use(now) * model.diskMs();
@@ -158,9 +161,18 @@
       ms += queues.backlogMs(e.id(), now);
       ms += Math.max(0, JUST_LOADED_MS - loads.sinceLoadMs(e.id(), now));
     }
+    return ms + weightedLoadMs(e.entry(), model);
+  }
+
+  /** Returns what a load at an endpoint would cost the callers of its other models, in ms. */
+  private double harmMs(Endpoint e, EngineInfo engine, ModelInfo model, long now) {
+    boolean loading = loads.at(e.id(), now).filter(l -> l.model().equals(model.name())).isPresent();
+    if (loading || e.holds(model.name(), "", now)) {
+      return 0;
+    }
     double disturbed = Math.min(MOST_DISTURBED_PER_S, copies.rateAt(e, now));
-    double loadMs = weightedLoadMs(e.entry(), model) * (1 + DISTURBANCE * disturbed);
-    return ms + loadMs + evictionMs(e, engine, model, now);
+    return weightedLoadMs(e.entry(), model) * DISTURBANCE * disturbed
+        + evictionMs(e, engine, model, now);
   }
 
   private static double weightedLoadMs(EndpointEntry entry, ModelInfo model) {
@@ -182,12 +194,12 @@
     if (loads.fromStore(now) >= storeLoadsAtOnce) {
       storeMs += model.storeMs() / 2;
     }
+    if (!endpoints.holders(service, model.name(), now).isEmpty()) {
+      return 0;
+    }
     long best = storeMs;
     for (Endpoint e : endpoints.of(service)) {
       Optional<LoadBoard.Load> load = loads.at(e.id(), now);
-      if (e.holds(model.name(), "", now)) {
-        return 0;
-      }
       long rest = load.map(l -> Math.max(0, l.untilMs() - now)).orElse(0L);
       boolean own = load.isPresent() && load.get().model().equals(model.name());
       long ms = loadMs(e.entry(), model);
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Prefetch.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Prefetch.java
@@ -2,7 +2,7 @@
 
 import io.kumquatspindle.api.fleet.EngineInfo;
 import io.kumquatspindle.api.fleet.ModelInfo;
-import java.util.Collection;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -24,6 +24,11 @@
   private final ModelDemand demand;
   private final LoadBoard loads;
 
+  /** What each endpoint should fetch, by service; the same for all questions of one moment. */
+  private final Map<String, Map<String, String>> planned = new HashMap<>();
+
+  private long plannedMs = Long.MIN_VALUE;
+
   /**
    * Creates the choice.
    *
@@ -47,33 +52,49 @@
    * @return name of the model, or empty if the endpoint should fetch nothing now
    */
   public Optional<String> next(Endpoint endpoint, EngineInfo engine, Set<String> held, long now) {
-    String service = endpoint.entry().service();
-    List<Endpoint> all = endpoints.of(service);
-    if (loads.at(endpoint.id(), now).isPresent() || busy(endpoint, now)) {
-      return Optional.empty();
+    if (plannedMs != now || !planned.containsKey(endpoint.entry().service())) {
+      planned.keySet().removeIf(service -> plannedMs != now);
+      plannedMs = now;
+      planned.put(endpoint.entry().service(), plan(endpoint.entry().service(), engine, held, now));
     }
-    Map<String, Integer> copies = copies(all, now);
+    return Optional.ofNullable(planned.get(endpoint.entry().service()).get(endpoint.id()));
+  }
+
+  /** Chooses for all endpoints of a service: each missing model has one that fetches it. */
+  private Map<String, String> plan(String service, EngineInfo engine, Set<String> held, long now) {
+    Map<String, Integer> copies = new HashMap<>();
     held.forEach(m -> copies.merge(m, 1, Integer::sum));
-    return engine.models().values().stream()
+    List<Candidate> idle = new ArrayList<>();
+    for (Endpoint e : endpoints.of(service)) {
+      Set<String> copied = copied(e, now);
+      copied.forEach(m -> copies.merge(m, 1, Integer::sum));
+      if (!busy(e, now)) {
+        idle.add(new Candidate(e, copied, loads.at(e.id(), now).isPresent()));
+      }
+    }
+    Map<String, String> plan = new HashMap<>();
+    engine.models().values().stream()
         .filter(m -> copies.getOrDefault(m.name(), 0) < wanted(m))
-        .filter(m -> home(m.name(), all, now).equals(endpoint.id()))
-        .max(Comparator.comparingInt(Prefetch::wanted).thenComparing(m -> Hashes.of(m.name())))
-        .map(ModelInfo::name);
+        .sorted(
+            Comparator.comparingInt(Prefetch::wanted)
+                .thenComparing(m -> Hashes.of(m.name()))
+                .reversed())
+        .forEach(
+            m ->
+                home(m.name(), idle)
+                    .filter(c -> !c.loading())
+                    .ifPresent(c -> plan.putIfAbsent(c.endpoint().id(), m.name())));
+    return plan;
   }
 
+  /** An endpoint that is not busy. */
+  private record Candidate(Endpoint endpoint, Set<String> copied, boolean loading) {}
+
   /** A model with adapters is one that customers work with: its only copy may leave. */
   private static int wanted(ModelInfo model) {
     return model.adapters() > 0 ? 2 : 1;
   }
 
-  private Map<String, Integer> copies(List<Endpoint> all, long now) {
-    Map<String, Integer> copies = new HashMap<>();
-    for (Endpoint e : all) {
-      copied(e, now).forEach(m -> copies.merge(m, 1, Integer::sum));
-    }
-    return copies;
-  }
-
   private Set<String> copied(Endpoint e, long now) {
     Set<String> copied = new HashSet<>(e.models(now));
     copied.addAll(e.entry().inMemory());
@@ -83,12 +104,18 @@
   }
 
   /** Each model has one endpoint that fetches it, so that no two fetch the same. */
-  private String home(String model, Collection<Endpoint> all, long now) {
-    return all.stream()
-        .filter(e -> !busy(e, now) && !copied(e, now).contains(model))
-        .map(Endpoint::id)
-        .max(Comparator.comparingLong(id -> Hashes.of(model + id)))
-        .orElse("");
+  private static Optional<Candidate> home(String model, List<Candidate> idle) {
+    long hash = Hashes.of(model);
+    Candidate home = null;
+    long most = Long.MIN_VALUE;
+    for (Candidate c : idle) {
+      long h = Hashes.of(hash, c.endpoint().hash());
+      if (h > most && !c.copied().contains(model)) {
+        home = c;
+        most = h;
+      }
+    }
+    return Optional.ofNullable(home);
   }
 
   private boolean busy(Endpoint e, long now) {
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/RunningBoard.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/RunningBoard.java
@@ -1,7 +1,9 @@
 package io.kumquatspindle.engine.fleet;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Requests in progress at each endpoint, by model and adapter, over all VMs that are heard. Answers
@@ -11,10 +13,16 @@
   /** Age after which a peer's counts say nothing, in ms; ten digests. */
   private static final long VALID_MS = 2_000;
 
+  /** In place of an adapter's name: the model itself or any of its adapters. */
+  private static final String ANY = "*";
+
   private final Map<String, Integer> own = new HashMap<>();
   private final Map<String, Told> peers = new HashMap<>();
 
-  private record Told(Map<String, Integer> counts, long atMs) {}
+  private final Map<String, Integer> told = new HashMap<>();
+  private long lookedMs;
+
+  private record Told(Set<String> keys, long atMs) {}
 
   /**
    * Counts a request of this VM that begins.
@@ -55,7 +63,37 @@
    * @param now present time, in ms
    */
   public void told(String peer, Map<String, Integer> counts, long now) {
-    peers.put(peer, new Told(counts, now));
+    Told before = peers.remove(peer);
+    if (before != null) {
+      before.keys().forEach(this::forget);
+    }
+    if (!counts.isEmpty()) {
+      Set<String> keys = new HashSet<>(counts.keySet());
+      counts.keySet().forEach(k -> keys.add(k.substring(0, k.lastIndexOf('/') + 1) + ANY));
+      keys.forEach(k -> told.merge(k, 1, Integer::sum));
+      peers.put(peer, new Told(keys, now));
+    }
+  }
+
+  private void forget(String key) {
+    told.computeIfPresent(key, (k, n) -> n > 1 ? n - 1 : null);
+  }
+
+  private void forgetSilent(long now) {
+    if (now == lookedMs) {
+      return;
+    }
+    lookedMs = now;
+    peers
+        .values()
+        .removeIf(
+            t -> {
+              boolean silent = now - t.atMs() > VALID_MS;
+              if (silent) {
+                t.keys().forEach(this::forget);
+              }
+              return silent;
+            });
   }
 
   /**
@@ -67,11 +105,10 @@
    * @return whether there are any, for the model itself or one of its adapters
    */
   public boolean runs(String endpoint, String model, long now) {
-    String start = endpoint + "|" + model + "/";
-    peers.values().removeIf(t -> now - t.atMs() > VALID_MS);
-    return own.keySet().stream().anyMatch(k -> k.startsWith(start))
-        || peers.values().stream()
-            .anyMatch(t -> t.counts().keySet().stream().anyMatch(k -> k.startsWith(start)));
+    String start = key(endpoint, model, "");
+    forgetSilent(now);
+    return told.containsKey(start + ANY)
+        || own.keySet().stream().anyMatch(k -> k.startsWith(start));
   }
 
   /**
@@ -85,8 +122,8 @@
    */
   public boolean runs(String endpoint, String model, String adapter, long now) {
     String k = key(endpoint, model, adapter);
-    peers.values().removeIf(t -> now - t.atMs() > VALID_MS);
-    return own.containsKey(k) || peers.values().stream().anyMatch(t -> t.counts().containsKey(k));
+    forgetSilent(now);
+    return own.containsKey(k) || told.containsKey(k);
   }
 
   private static String key(String endpoint, String model, String adapter) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -128,11 +128,12 @@
   }
 
   private List<Endpoint> candidates(long now) {
-    List<Endpoint> all = parts.node().endpoints().of(service);
     if (head.model().isEmpty()) {
-      return all;
+      return parts.node().endpoints().of(service);
     }
-    return all.stream().filter(e -> e.holds(head.model(), head.adapter(), now)).toList();
+    return parts.node().endpoints().holders(service, head.model(), now).stream()
+        .filter(e -> e.holds(head.model(), head.adapter(), now))
+        .toList();
   }
 
   private void send(Endpoint endpoint, long now) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -137,8 +137,15 @@
   @Override
   public boolean loading(String service, String model) {
     long now = node.now();
-    return node.endpoints().of(service).stream()
-        .anyMatch(e -> loads.at(e.id(), now).filter(l -> l.model().equals(model)).isPresent());
+    return loads.loading(model, Long.MAX_VALUE, now).stream()
+        .anyMatch(id -> takesWork(id, service));
+  }
+
+  private boolean takesWork(String endpoint, String service) {
+    return node.endpoints()
+        .find(endpoint)
+        .filter(e -> e.entry().service().equals(service) && !e.entry().leaving())
+        .isPresent();
   }
 
   /**
@@ -197,7 +204,7 @@
   public void tick() {
     long now = node.now();
     books.keySet().removeIf(id -> forgotten(id));
-    loads.retain(node.endpoints().ids());
+    loads.retain(node.endpoints()::knows);
     for (Map.Entry<String, OrderBook> b : List.copyOf(books.entrySet())) {
       b.getValue().forgetWantsBefore(now - WANT_VALID_MS);
       node.endpoints().find(b.getKey()).ifPresent(e -> step(e, b.getValue()));
@@ -206,12 +213,15 @@
   }
 
   private void tellQueues() {
-    node.queues().retain(node.endpoints().ids());
-    for (Endpoint e : node.endpoints().all()) {
-      OrderBook book = books.get(e.id());
-      Optional<EngineInfo> engine = engine(e.entry().service());
-      boolean waits = book != null && engine.isPresent() && book.wantCount() > 0;
-      node.queues().own(e.id(), waits ? book.queued(context(e, book, engine.get())) : Map.of());
+    node.queues().retain(books::containsKey);
+    for (Map.Entry<String, OrderBook> b : books.entrySet()) {
+      Optional<Endpoint> e = node.endpoints().find(b.getKey());
+      Optional<EngineInfo> engine = e.flatMap(x -> engine(x.entry().service()));
+      Map<String, Integer> queued =
+          engine.isEmpty() || b.getValue().wantCount() == 0
+              ? Map.of()
+              : b.getValue().queued(context(e.get(), b.getValue(), engine.get()));
+      node.queues().own(b.getKey(), queued);
     }
   }
 
@@ -230,7 +240,7 @@
       for (String model : s.engine().get().models().keySet()) {
         double rate = node.demand().rate(model, now);
         boolean held = rate >= CopyPolicy.HOT_PER_S && copies.copies(s.name(), model, now) > 0;
-        if (held) {
+        if (held && copies.scarce(s.name(), model, domain, now)) {
           chooser
               .chooseCopy(s.name(), s.engine().get(), model, domain, now)
               .filter(e -> owners.holds(e.id(), domain))
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
@@ -168,7 +168,7 @@
 
   private boolean held(Key k) {
     long now = node.now();
-    return node.endpoints().of(k.service()).stream()
+    return node.endpoints().holders(k.service(), k.model(), now).stream()
         .anyMatch(e -> e.holds(k.model(), k.adapter(), now) && !e.avoided(now));
   }
 
