--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -14,8 +14,8 @@
 import io.kumquatspindle.engine.fleet.PlacementChooser;
 import io.kumquatspindle.engine.fleet.Prefetch;
 import io.kumquatspindle.node.NodeContext;
+import io.kumquatspindle.node.peer.PeerLinks;
 import io.kumquatspindle.node.peer.PeerMessage;
-import io.kumquatspindle.node.peer.PeerNetwork;
 import io.kumquatspindle.node.peer.Peers;
 import io.kumquatspindle.node.port.EngineCalls;
 import java.util.HashMap;
@@ -38,7 +38,7 @@
   private final NodeContext node;
   private final Owners owners;
   private final Peers peers;
-  private final PeerNetwork network;
+  private final PeerLinks network;
   private final EngineCalls engines;
   private final LoadBoard loads = new LoadBoard();
   private final CopyPolicy copies;
@@ -60,7 +60,7 @@
    * @param engines calls to engines
    */
   public OrderController(
-      NodeContext node, Owners owners, Peers peers, PeerNetwork network, EngineCalls engines) {
+      NodeContext node, Owners owners, Peers peers, PeerLinks network, EngineCalls engines) {
     this.node = node;
     this.owners = owners;
     this.peers = peers;
@@ -123,7 +123,7 @@
     if (times == 1 && holder.isPresent()) {
       network.send(holder.get(), want);
     } else {
-      peers.inDomain(its).forEach(a -> network.send(a, want));
+      network.send(peers.inDomain(its), want);
     }
   }
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerNetwork.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerNetwork.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.io.IOException;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -28,7 +29,7 @@
  * Connections to the other VMs. Each VM sends on connections that it opened itself, so a connection
  * that went silent shows at the receiver, which says so in its next digest.
  */
-public final class PeerNetwork {
+public final class PeerNetwork implements PeerLinks {
   private static final int MOST_FRAME_BYTES = 1 << 20;
   private static final int LENGTH_BYTES = 4;
   private static final int CONNECT_MS = 500;
@@ -71,51 +72,45 @@
         .sync();
   }
 
-  /**
-   * Returns the address of this VM for peers.
-   *
-   * @return host and port
-   */
+  @Override
   public String self() {
     return self;
   }
 
-  /**
-   * Sends a message if the connection is open, and opens it if not; a message that cannot be sent
-   * now is dropped.
-   *
-   * @param address address of the peer
-   * @param message the message
-   */
-  public void send(String address, PeerMessage message) {
-    Channel c = outgoing.get(address);
-    if (c == null || !c.isActive()) {
-      connect(address, message);
+  @Override
+  public void send(Collection<String> addresses, PeerMessage message) {
+    if (addresses.isEmpty()) {
       return;
     }
-    if (!c.isWritable()) {
-      reset(address);
-      return;
+    byte[] encoded = encode(message);
+    String kind = message.label();
+    for (String address : addresses) {
+      Channel c = outgoing.get(address);
+      if (c == null || !c.isActive()) {
+        connect(address, kind, encoded);
+      } else if (c.isWritable()) {
+        write(c, kind, encoded);
+      } else {
+        reset(address);
+      }
     }
-    write(c, message);
   }
 
-  private void write(Channel c, PeerMessage message) {
+  private static byte[] encode(PeerMessage message) {
     try {
-      byte[] encoded = PeerCodec.encode(message);
-      node.metrics().counter(MetricsText.name("peer_sent_total", "kind", message.label())).inc();
-      node.metrics().counter("peer_sent_bytes_total").inc(encoded.length);
-      c.writeAndFlush(Unpooled.wrappedBuffer(encoded));
+      return PeerCodec.encode(message);
     } catch (IOException e) {
       throw new IllegalStateException("a message could not be encoded", e);
     }
   }
 
-  /**
-   * Closes the connection to a peer that does not hear this VM.
-   *
-   * @param address address of the peer
-   */
+  private void write(Channel c, String kind, byte[] encoded) {
+    node.metrics().counter(MetricsText.name("peer_sent_total", "kind", kind)).inc();
+    node.metrics().counter("peer_sent_bytes_total").inc(encoded.length);
+    c.writeAndFlush(Unpooled.wrappedBuffer(encoded));
+  }
+
+  @Override
   public void reset(String address) {
     Channel c = outgoing.remove(address);
     if (c != null) {
@@ -123,7 +118,7 @@
     }
   }
 
-  private void connect(String address, PeerMessage first) {
+  private void connect(String address, String kind, byte[] first) {
     long now = node.now();
     if (connecting.contains(address) || now < notBefore.getOrDefault(address, 0L)) {
       return;
@@ -143,7 +138,7 @@
           connecting.remove(address);
           if (done.isSuccess()) {
             outgoing.put(address, f.channel());
-            write(f.channel(), first);
+            write(f.channel(), kind, first);
           } else {
             notBefore.put(address, node.now() + RECONNECT_MS);
           }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
@@ -26,7 +26,7 @@
   private static final long TELL_MS = 1_000;
 
   private final NodeContext node;
-  private final PeerNetwork network;
+  private final PeerLinks network;
   private final Map<String, Peer> byAddress = new HashMap<>();
   private final Map<String, Set<String>> named = new HashMap<>();
 
@@ -51,7 +51,7 @@
    * @param node shared context
    * @param network connections to the other VMs
    */
-  public Peers(NodeContext node, PeerNetwork network) {
+  public Peers(NodeContext node, PeerLinks network) {
     this.node = node;
     this.network = network;
   }
@@ -185,7 +185,7 @@
    * @param message the message
    */
   public void broadcast(PeerMessage message) {
-    addresses().forEach(a -> network.send(a, message));
+    network.send(addresses(), message);
   }
 
   /**
@@ -215,7 +215,7 @@
     return 1 + (int) byAddress.keySet().stream().filter(this::audible).count();
   }
 
-  PeerNetwork network() {
+  PeerLinks network() {
     return network;
   }
 }
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/TestNodes.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/TestNodes.java
@@ -2,10 +2,13 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import io.kumquatspindle.api.fleet.CustomerInfo;
 import io.kumquatspindle.node.observe.EventLog;
 import io.netty.channel.EventLoop;
 import java.io.OutputStream;
 import java.util.List;
+import java.util.OptionalInt;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** Contexts of programs whose clock the test sets, without an event loop and without a log. */
@@ -57,6 +60,18 @@
         new MetricRegistry());
   }
 
+  /**
+   * Returns a customer whose rate counts tokens.
+   *
+   * @param name its name
+   * @param ratePerS tokens a second
+   * @param burst tokens at once
+   * @return the customer
+   */
+  public static CustomerInfo customer(String name, double ratePerS, double burst) {
+    return new CustomerInfo(name, Set.of(), OptionalInt.empty(), true, 0, ratePerS, burst);
+  }
+
   private static NodeSettings settings(List<String> domains) {
     return new NodeSettings(
         "vm",
