Send digests in rounds, so that their number does not grow with the square of the VMs

Cause: each VM sent a digest to each of 78 others five times a second, encoded for each; 80 % of the time that duties took before traffic (lines 'vitals'). Limits that hold for 8 VMs were constants.

A round of digests, each 200 ms, now goes to 16 VMs at most; with 79 VMs each is told once a second, with up to 17 as before. What depends on the time between digests follows from the number of VMs: when a VM is silent, how long what it told is valid, what is charged for it. A cut shows by the whole failure domain, after 0.6 s as before, and its VMs then count as not heard. Uses of models are kept by round, so that each VM is told once. Ruled out: digests to one VM of each failure domain that passes them on; it needs sums by failure domain to fit links of 7 Mbit/s, and stays open for 350 VMs (4.4 s between digests there).

The tests of boards pass until when a told state is valid instead of when it was told, with the same bounds.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/FleetQuota.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/FleetQuota.java
@@ -12,11 +12,12 @@
 public final class FleetQuota {
   private static final double MS_PER_SECOND = 1_000;
 
-  /** Silence after which a peer's share of the rate is set aside, in ms. */
+  /** Silence after which a peer's share of the rate is set aside, in ms, unless it is set. */
   public static final long SILENT_MS = 1_000;
 
   private final Map<String, Told> peers = new HashMap<>();
   private final long startMs;
+  private long silentMs = SILENT_MS;
   private double ratePerS;
   private double burst;
   private double level;
@@ -118,14 +119,23 @@
   public void peerConsumed(String peer, double total, long now) {
     Told before = peers.put(peer, new Told(total, now));
     if (before == null) {
-      boolean older = now - startMs <= SILENT_MS;
+      boolean older = now - startMs <= silentMs;
       level -= older ? 0 : Math.min(total, burst);
       return;
     }
-    double heard = Math.min(1, (double) SILENT_MS / Math.max(1, now - before.atMs()));
+    double heard = Math.min(1, (double) silentMs / Math.max(1, now - before.atMs()));
     level = Math.min(burst, level - (total - before.total()) * heard);
   }
 
+  /**
+   * Sets the silence after which a peer's share is set aside.
+   *
+   * @param ms time in ms, some times that between two messages of a peer
+   */
+  public void silentAfter(long ms) {
+    silentMs = ms;
+  }
+
   /** Forgets when peers were heard, after this VM was suspended and gained nothing meanwhile. */
   public void suspended() {
     peers.replaceAll((peer, told) -> new Told(told.total(), Long.MIN_VALUE / 2));
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/LoadQueues.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/LoadQueues.java
@@ -13,9 +13,6 @@
  * them all to the same endpoint, or has one model loaded at two. One owner thread.
  */
 public final class LoadQueues {
-  /** Age after which a peer's queues say nothing, in ms; five digests. */
-  private static final long VALID_MS = 1_000;
-
   private final Map<String, Map<String, Integer>> own = new HashMap<>();
   private final Map<String, Told> peers = new HashMap<>();
 
@@ -24,8 +21,8 @@
 
   private long lookedMs;
 
-  /** At which endpoints a peer told of loads, and when. */
-  private record Told(Set<String> endpoints, long atMs) {}
+  /** At which endpoints a peer told of loads, and until when that is valid. */
+  private record Told(Set<String> endpoints, long untilMs) {}
 
   /**
    * Takes the queue of an endpoint that this VM holds in place of the earlier one.
@@ -66,9 +63,9 @@
    *
    * @param peer identity of the peer
    * @param loadMsByKey time to load in ms, by endpoint and model
-   * @param now present time, in ms
+   * @param untilMs when they say nothing any more, in ms
    */
-  public void told(String peer, Map<String, Integer> loadMsByKey, long now) {
+  public void told(String peer, Map<String, Integer> loadMsByKey, long untilMs) {
     forget(peer);
     if (loadMsByKey.isEmpty()) {
       return;
@@ -83,7 +80,7 @@
               .computeIfAbsent(peer, p -> new HashMap<>())
               .put(key.substring(bar + 1), ms);
         });
-    peers.put(peer, new Told(endpoints, now));
+    peers.put(peer, new Told(endpoints, untilMs));
   }
 
   private void forget(String peer) {
@@ -135,7 +132,7 @@
     if (now != lookedMs) {
       lookedMs = now;
       List.copyOf(peers.entrySet()).stream()
-          .filter(p -> now - p.getValue().atMs() > VALID_MS)
+          .filter(p -> now > p.getValue().untilMs())
           .forEach(p -> forget(p.getKey()));
     }
   }
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/RunningBoard.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/RunningBoard.java
@@ -10,9 +10,6 @@
  * evictions that would wait for running requests while the endpoint takes no other order.
  */
 public final class RunningBoard {
-  /** Age after which a peer's counts say nothing, in ms; ten digests. */
-  private static final long VALID_MS = 2_000;
-
   /** In place of an adapter's name: the model itself or any of its adapters. */
   private static final String ANY = "*";
 
@@ -22,7 +19,7 @@
   private final Map<String, Integer> told = new HashMap<>();
   private long lookedMs;
 
-  private record Told(Set<String> keys, long atMs) {}
+  private record Told(Set<String> keys, long untilMs) {}
 
   /**
    * Counts a request of this VM that begins.
@@ -60,9 +57,9 @@
    *
    * @param peer identity of the peer
    * @param counts counts by endpoint, model and adapter
-   * @param now present time, in ms
+   * @param untilMs when they say nothing any more, in ms
    */
-  public void told(String peer, Map<String, Integer> counts, long now) {
+  public void told(String peer, Map<String, Integer> counts, long untilMs) {
     Told before = peers.remove(peer);
     if (before != null) {
       before.keys().forEach(this::forget);
@@ -71,7 +68,7 @@
       Set<String> keys = new HashSet<>(counts.keySet());
       counts.keySet().forEach(k -> keys.add(k.substring(0, k.lastIndexOf('/') + 1) + ANY));
       keys.forEach(k -> told.merge(k, 1, Integer::sum));
-      peers.put(peer, new Told(keys, now));
+      peers.put(peer, new Told(keys, untilMs));
     }
   }
 
@@ -88,7 +85,7 @@
         .values()
         .removeIf(
             t -> {
-              boolean silent = now - t.atMs() > VALID_MS;
+              boolean silent = now > t.untilMs();
               if (silent) {
                 t.keys().forEach(this::forget);
               }
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/DecisionScaleTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/DecisionScaleTests.java
@@ -65,8 +65,8 @@
         runs.put("i-" + e + "|" + model(e) + "/", 1);
         demand.add(model(e), 1, now);
       }
-      running.told("vm" + vm, runs, now);
-      queues.told("vm" + vm, Map.of("i-" + vm + "|" + model(vm + 1), 1_000), now);
+      running.told("vm" + vm, runs, Long.MAX_VALUE);
+      queues.told("vm" + vm, Map.of("i-" + vm + "|" + model(vm + 1), 1_000), Long.MAX_VALUE);
     }
   }
 
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/LoadQueuesTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/LoadQueuesTests.java
@@ -16,7 +16,7 @@
   @DisplayName("at an endpoint add up over what this VM and its peers tell")
   void backlog() {
     queues.own("e1", Map.of("a", 1_000));
-    queues.told("peer", Map.of("e1|b", 500, "e11|c", 6_000), 0);
+    queues.told("peer", Map.of("e1|b", 500, "e11|c", 6_000), 1_000);
 
     assertEquals(1_500, queues.backlogMs("e1", 0));
     assertTrue(queues.queued("e1", "b", 0));
@@ -26,7 +26,7 @@
   @Test
   @DisplayName("of a peer that is not heard are forgotten, so that they keep nothing away")
   void silentPeer() {
-    queues.told("peer", Map.of("e1|b", 500), 0);
+    queues.told("peer", Map.of("e1|b", 500), 1_000);
 
     assertEquals(0, queues.backlogMs("e1", 2_000));
   }
@@ -46,7 +46,7 @@
   void toldOn() {
     queues.own("e1", Map.of("a", 1_000));
     LoadQueues other = new LoadQueues();
-    other.told("this", queues.own(), 0);
+    other.told("this", queues.own(), 1_000);
 
     assertTrue(other.queued("e1", "a", 0));
     queues.own("e1", Map.of());
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
@@ -1,24 +1,36 @@
 package io.kumquatspindle.node.peer;
 
-import io.kumquatspindle.engine.fleet.FleetQuota;
 import io.kumquatspindle.node.NodeContext;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 /** The other VMs: who is known, who is heard, and the digests that are exchanged with them. */
 public final class Peers {
-  /** Time between digests, in ms; bounds what a customer gets beyond its rate. */
+  /**
+   * Time between rounds of digests, in ms; with few VMs each round goes to all of them, which
+   * bounds what a customer gets beyond its rate.
+   */
   public static final long DIGEST_MS = 200;
 
-  /** Silence after which a peer is taken not to be heard, in ms; five digests. */
-  static final long SILENT_MS = FleetQuota.SILENT_MS;
+  /**
+   * Digests in a round, at most: 80 a second, and as many heard, take 26 ms of processor time each
+   * second by the lines "vitals" of 79 VMs, of 39 ms that control may take.
+   */
+  private static final int MOST_IN_ROUND = 16;
 
-  /** Silence of all VMs of a failure domain that shows a cut, in ms; three digests. */
+  /** Digests of a peer that are missing when it is taken not to be heard. */
+  private static final int SILENT_DIGESTS = 5;
+
+  /** Least silence of all VMs of a failure domain that shows a cut, in ms; three rounds. */
   private static final long DOMAIN_SILENT_MS = 600;
 
+  /** Digests of a failure domain that are missing when it is taken to be cut off. */
+  private static final int DOMAIN_SILENT_DIGESTS = 3;
+
   /** Silence after which a peer that no group names is forgotten, in ms. */
   private static final long FORGET_MS = 10_000;
 
@@ -85,7 +97,7 @@
   public void heard(PeerMessage.Digest digest) {
     Peer p = known(digest.address());
     long now = node.now();
-    if (now - p.heardMs > SILENT_MS) {
+    if (now - p.heardMs > silentMs()) {
       node.log().line("peer_heard").field("peer", digest.address()).write();
     }
     p.heardMs = now;
@@ -94,9 +106,9 @@
       network.reset(digest.address());
     }
     if (now - p.listSentMs >= TELL_MS) {
+      p.listSentMs = now;
       Set<String> missing = missing(digest);
       if (!missing.isEmpty()) {
-        p.listSentMs = now;
         network.send(digest.address(), new PeerMessage.Known(missing));
       }
     }
@@ -132,7 +144,7 @@
    */
   public boolean audible(String address) {
     Peer p = byAddress.get(address);
-    return p != null && node.now() - p.heardMs <= SILENT_MS;
+    return p != null && node.now() - p.heardMs <= silentMs();
   }
 
   /**
@@ -142,13 +154,51 @@
    */
   public Set<String> silentDomains() {
     long now = node.now();
-    Set<String> silent = new HashSet<>();
-    byAddress.values().stream().filter(p -> !p.domain.isEmpty()).forEach(p -> silent.add(p.domain));
-    byAddress.values().stream()
-        .filter(p -> now - p.heardMs <= DOMAIN_SILENT_MS)
-        .forEach(p -> silent.remove(p.domain));
-    silent.remove(node.settings().domain());
-    return silent;
+    Map<String, Integer> vms = new HashMap<>();
+    Map<String, Long> heardMs = new HashMap<>();
+    for (Peer p : byAddress.values()) {
+      vms.merge(p.domain, 1, Integer::sum);
+      heardMs.merge(p.domain, p.heardMs, Math::max);
+    }
+    heardMs.keySet().removeAll(List.of("", node.settings().domain()));
+    heardMs.entrySet().removeIf(d -> now - d.getValue() <= domainSilentMs(vms.get(d.getKey())));
+    return heardMs.keySet();
+  }
+
+  private long domainSilentMs(int vms) {
+    return Math.max(DOMAIN_SILENT_MS, DOMAIN_SILENT_DIGESTS * rounds() * DIGEST_MS / vms);
+  }
+
+  /**
+   * Returns the number of rounds of digests after which each peer has got one.
+   *
+   * @return at least 1
+   */
+  int rounds() {
+    return Math.max(1, (byAddress.size() + MOST_IN_ROUND - 1) / MOST_IN_ROUND);
+  }
+
+  /**
+   * Returns the silence after which a peer is taken not to be heard.
+   *
+   * @return time in ms
+   */
+  long silentMs() {
+    return SILENT_DIGESTS * rounds() * DIGEST_MS;
+  }
+
+  /**
+   * Returns the peers that get a digest in a round, the same ones each time.
+   *
+   * @param round number of the round, from 0
+   * @return addresses
+   */
+  List<String> inRound(int round) {
+    List<String> sorted = addresses().stream().sorted().toList();
+    return IntStream.range(0, sorted.size())
+        .filter(i -> i % rounds() == round)
+        .mapToObj(sorted::get)
+        .toList();
   }
 
   /**
@@ -212,10 +262,17 @@
    * @return at least 1, this VM included
    */
   public int heardCount() {
-    return 1 + (int) byAddress.keySet().stream().filter(this::audible).count();
+    long now = node.now();
+    Set<String> cutOff = silentDomains();
+    long silentMs = silentMs();
+    return 1
+        + (int)
+            byAddress.values().stream()
+                .filter(p -> now - p.heardMs <= silentMs && !cutOff.contains(p.domain))
+                .count();
   }
 
-  PeerLinks network() {
+  PeerLinks links() {
     return network;
   }
 }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
@@ -4,20 +4,30 @@
 import io.kumquatspindle.api.fleet.FleetConfiguration;
 import io.kumquatspindle.engine.fleet.FleetQuota;
 import io.kumquatspindle.node.NodeContext;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /** Customers' rates over all VMs, and the digests that carry what was consumed. */
 public final class QuotaController {
   /** Share of the rate until the other VMs are known; a site has at least 7 VMs. */
   private static final double UNKNOWN_SHARE = 0.125;
 
+  /** Time for which a peer's counts of requests are valid, in times after which it is silent. */
+  private static final int RUNNING_VALID = 2;
+
   private final NodeContext node;
   private final Peers peers;
   private final Map<String, FleetQuota> byCustomer = new HashMap<>();
   private final Map<String, Map<String, Double>> early = new HashMap<>();
-  private final Map<String, Long> modelUses = new HashMap<>();
+
+  /** Uses of models that the peers of each round have not been told of. */
+  private final List<Map<String, Long>> modelUses = new ArrayList<>();
+
+  private int round;
   private final long process;
   private boolean membersKnown;
 
@@ -108,7 +118,18 @@
    * @param model name of the model
    */
   public void modelUsed(String model) {
-    modelUses.merge(model, 1L, Long::sum);
+    fitRounds();
+    modelUses.forEach(uses -> uses.merge(model, 1L, Long::sum));
+  }
+
+  private void fitRounds() {
+    int rounds = peers.rounds();
+    while (modelUses.size() > rounds) {
+      modelUses.remove(modelUses.size() - 1);
+    }
+    while (modelUses.size() < rounds) {
+      modelUses.add(new HashMap<>());
+    }
   }
 
   /**
@@ -137,13 +158,14 @@
             (customer, total) -> {
               FleetQuota q = byCustomer.get(customer);
               if (q != null) {
+                q.silentAfter(peers.silentMs());
                 q.peerConsumed(peer, total, now);
               } else {
                 early.computeIfAbsent(customer, c -> new HashMap<>()).put(peer, total);
               }
             });
-    node.running().told(peer, digest.running(), now);
-    node.queues().told(peer, digest.queued(), now);
+    node.running().told(peer, digest.running(), now + RUNNING_VALID * peers.silentMs());
+    node.queues().told(peer, digest.queued(), now + peers.silentMs());
     digest.models().forEach((model, uses) -> node.demand().add(model, uses, now));
   }
 
@@ -153,39 +175,43 @@
   }
 
   /**
-   * Sends a digest to all peers.
+   * Sends a digest to the peers of the next round.
    *
    * @param fence fencing number of this VM's orders
    * @param partitions partitions that this VM holds
    */
   public void tell(long fence, Set<Integer> partitions) {
+    fitRounds();
+    round = (round + 1) % modelUses.size();
+    Map<String, Long> uses = modelUses.get(round);
+    Map<Boolean, List<String>> byDeaf =
+        peers.inRound(round).stream().collect(Collectors.partitioningBy(a -> !peers.audible(a)));
+    byDeaf.forEach(
+        (deaf, to) -> {
+          if (!to.isEmpty()) {
+            peers.links().send(to, digest(deaf, uses, fence, partitions));
+          }
+        });
+    uses.clear();
+  }
+
+  private PeerMessage.Digest digest(
+      boolean deaf, Map<String, Long> uses, long fence, Set<Integer> partitions) {
     Map<String, Double> consumed = new HashMap<>();
     byCustomer.forEach((name, q) -> consumed.put(name, q.consumed()));
-    Map<String, Long> models = Map.copyOf(modelUses);
-    modelUses.clear();
-    long version = node.configuration().map(FleetConfiguration::version).orElse(0L);
-    for (String a : peers.addresses()) {
-      boolean deaf = !peers.audible(a);
-      String self = peers.network().self();
-      String domain = node.settings().domain();
-      peers
-          .network()
-          .send(
-              a,
-              new PeerMessage.Digest(
-                  process,
-                  self,
-                  domain,
-                  version,
-                  deaf,
-                  consumed,
-                  models,
-                  node.running().own(),
-                  node.queues().own(),
-                  fence,
-                  partitions,
-                  peers.heardCount()));
-    }
+    return new PeerMessage.Digest(
+        process,
+        peers.links().self(),
+        node.settings().domain(),
+        node.configuration().map(FleetConfiguration::version).orElse(0L),
+        deaf,
+        consumed,
+        uses,
+        node.running().own(),
+        node.queues().own(),
+        fence,
+        partitions,
+        peers.heardCount());
   }
 
   private FleetQuota quota(CustomerInfo customer) {
