--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeSettings.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeSettings.java
@@ -95,6 +95,20 @@
     return result;
   }
 
+  /**
+   * Returns settings of a VM on free ports of the loopback interface, with a store that is not
+   * there.
+   *
+   * @return the settings
+   */
+  public static NodeSettings unconnected() {
+    String host = "127.0.0.1";
+    List<String> domains = List.of("domain");
+    return new NodeSettings(
+        "vm", host, "domain", domains, true, 0, 0, 0, 0, host, 1, 8, 1_000, 2_000, true, 3_000,
+        10_000, 0, 0, 1_000, 1);
+  }
+
   /**
    * Returns the longest wait of a read of the configuration at the store. The store may miss to
    * wake a read; half of the time that there is leaves the other half for the next one.
