Leave a refusal whose body does not end

Callers would see: 504 at their deadline, or a VM killed for its memory. An endpoint in trouble may send bytes without an end; a body after the statement that a request has not run was kept whole. The head has said all that matters: after 256 KB the connection is closed and the request is sent elsewhere or refused.

WholePathTests.endlessRefusal failed before: two endpoints got rid of 48 MB each, the bound of the stand-in. Looked at and found bounded: heads (65 KB), answers to calls (8 MB), answers that are passed on (the caller's pace and the route's time limit), interim answers (discarded, the silence still counts).

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Attempt.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Attempt.java
@@ -186,7 +186,16 @@
       upstream.reading(answer.writable());
       return;
     }
-    if (held.readableBytes() + data.readableBytes() > MOST_HELD_BYTES && !notRun) {
+    boolean tooLong = held.readableBytes() + data.readableBytes() > MOST_HELD_BYTES;
+    if (tooLong && notRun) {
+      // The head has said all; such a body may have no end.
+      if (finish()) {
+        upstream.cancel();
+        exchange.onNotRun(endpoint, head.status().code());
+      }
+      return;
+    }
+    if (tooLong) {
       streaming = true;
       answer.streamHead(head, false);
       answer.streamData(held);
