--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
@@ -145,6 +145,19 @@
     return holders.holders(service, model, of(service), now);
   }
 
+  /**
+   * Returns the endpoints of a service that take new work and hold a model and an adapter.
+   *
+   * @param service name of the service
+   * @param model name of the model
+   * @param adapter name of the adapter, or empty text
+   * @param now present time, in ms
+   * @return endpoints, in no order
+   */
+  public List<Endpoint> holders(String service, String model, String adapter, long now) {
+    return holders(service, model, now).stream().filter(e -> e.holds(model, adapter, now)).toList();
+  }
+
   /**
    * Tells whether an endpoint is known.
    *
--- /dev/null
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/HolderIndexTests.java
@@ -0,0 +1,62 @@
+package io.kumquatspindle.engine.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Label;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/** Guards against holders that are kept although one of them has changed. */
+@Label("Holders of a model")
+class HolderIndexTests {
+  private static final List<String> MODELS = List.of("a", "b", "c");
+
+  /** One change: what happens, at which endpoint, to which model, and how much later. */
+  record Change(int kind, int endpoint, int model, int afterMs) {}
+
+  @Property(tries = 300)
+  @Label("are the same as a look at each endpoint finds, after any changes")
+  void sameAsLook(@ForAll @Size(max = 40) List<@IntRange(min = 0, max = 719) Integer> changes) {
+    EndpointTable table = new EndpointTable();
+    long now = 0;
+    for (int c : changes) {
+      Change change = new Change(c % 6, c / 6 % 4, c / 24 % 3, c / 72 * 300);
+      now += change.afterMs();
+      apply(table, change, now);
+      for (String model : MODELS) {
+        assertEquals(looked(table, model, now), held(table, model, now), change + " " + model);
+      }
+    }
+  }
+
+  private static void apply(EndpointTable table, Change c, long now) {
+    String id = "e" + c.endpoint();
+    String model = MODELS.get(c.model());
+    Consumer<Endpoint> news = e -> e.news(model, "", c.kind() == 2, now);
+    switch (c.kind()) {
+      case 0 -> table.put(Entries.engine(id, "west", model));
+      case 1 -> table.put(Entries.engine(id, "west", now, Set.of(), "a", model));
+      case 2, 3 -> table.find(id).ifPresent(news);
+      case 4 -> table.remove(id, now);
+      default -> table.put(Entries.engine(id, "west"));
+    }
+  }
+
+  private static Set<String> held(EndpointTable table, String model, long now) {
+    Set<String> ids = new TreeSet<>();
+    table.holders(Entries.SERVICE, model, now).forEach(e -> ids.add(e.id()));
+    return ids;
+  }
+
+  private static Set<String> looked(EndpointTable table, String model, long now) {
+    Set<String> ids = new TreeSet<>();
+    table.all().stream().filter(e -> e.holds(model, "", now)).forEach(e -> ids.add(e.id()));
+    return ids;
+  }
+}
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -128,12 +128,9 @@
   }
 
   private List<Endpoint> candidates(long now) {
-    if (head.model().isEmpty()) {
-      return parts.node().endpoints().of(service);
-    }
-    return parts.node().endpoints().holders(service, head.model(), now).stream()
-        .filter(e -> e.holds(head.model(), head.adapter(), now))
-        .toList();
+    return head.model().isEmpty()
+        ? parts.node().endpoints().of(service)
+        : parts.node().endpoints().holders(service, head.model(), head.adapter(), now);
   }
 
   private void send(Endpoint endpoint, long now) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
@@ -168,8 +168,8 @@
 
   private boolean held(Key k) {
     long now = node.now();
-    return node.endpoints().holders(k.service(), k.model(), now).stream()
-        .anyMatch(e -> e.holds(k.model(), k.adapter(), now) && !e.avoided(now));
+    return node.endpoints().holders(k.service(), k.model(), k.adapter(), now).stream()
+        .anyMatch(e -> !e.avoided(now));
   }
 
   private void ask(Key k, Queue q) {
