Spend less of a VM's time on looks that change nothing

Now the VM that holds the partition of a model's name looks after its copies; a digest tells new consumption, every fourth all; endpoints at rest are left alone; what waits is judged ten times a second, let on at once as before; failure domains are counted as VMs are heard. DigestScaleTests.consumption holds that nobody is told less often than charges allow.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderBook.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderBook.java
@@ -160,6 +160,11 @@
     return wants.size();
   }
 
+  /** Returns whether nothing is wanted and nothing in progress, so that there is no next step. */
+  public boolean quiet() {
+    return wants.isEmpty() && loading.or(retirement::model).isEmpty() && unanswered.isEmpty();
+  }
+
   /**
    * Decides the next step.
    *
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -4,7 +4,6 @@
 import io.kumquatspindle.api.fleet.EngineInfo;
 import io.kumquatspindle.api.fleet.ModelInfo;
 import io.kumquatspindle.api.fleet.OrderAnswer;
-import io.kumquatspindle.api.fleet.ServiceInfo;
 import io.kumquatspindle.engine.fleet.CopyPolicy;
 import io.kumquatspindle.engine.fleet.Endpoint;
 import io.kumquatspindle.engine.fleet.HoldingChange;
@@ -30,10 +29,8 @@
   /** Age after which a want is forgotten unless it is told again, in ms. */
   private static final long WANT_VALID_MS = 3_000;
 
-  /**
-   * Time in which a copy is wanted that nobody waits for, in ms; more than the goals of callers.
-   */
-  private static final long SPREAD_GOAL_MS = 10_000;
+  /** Time between looks for endpoints that are gone or another VM's, in ms; as for the group. */
+  private static final long CLEAN_MS = 100;
 
   private final NodeContext node;
   private final Owners owners;
@@ -44,11 +41,13 @@
   private final CopyPolicy copies;
   private final PlacementChooser chooser;
   private final Prefetch prefetch;
+  private final Spread spread;
   private final Set<String> fetched = new HashSet<>();
   private final Map<String, OrderBook> books = new HashMap<>();
   private final Map<String, Long> born = new HashMap<>();
   private final Counter sent;
   private Runnable changed = () -> {};
+  private long cleanedMs;
 
   /**
    * Creates the controller.
@@ -70,6 +69,7 @@
     this.chooser =
         new PlacementChooser(node.endpoints(), copies, loads, node.queues(), node.running());
     this.prefetch = new Prefetch(node.endpoints(), node.demand(), loads);
+    this.spread = new Spread(node, owners, copies, chooser, this::wantAt);
     this.sent = node.metrics().counter("orders_total");
   }
 
@@ -203,11 +203,16 @@
   /** Called several times a second: goes on with what is wanted. */
   public void tick() {
     long now = node.now();
-    books.keySet().removeIf(id -> forgotten(id));
-    loads.retain(node.endpoints()::knows);
+    if (now - cleanedMs >= CLEAN_MS) {
+      cleanedMs = now;
+      books.keySet().removeIf(id -> forgotten(id));
+      loads.retain(node.endpoints()::knows);
+    }
     for (Map.Entry<String, OrderBook> b : List.copyOf(books.entrySet())) {
-      b.getValue().forgetWantsBefore(now - WANT_VALID_MS);
-      node.endpoints().find(b.getKey()).ifPresent(e -> step(e, b.getValue()));
+      if (!b.getValue().quiet()) {
+        b.getValue().forgetWantsBefore(now - WANT_VALID_MS);
+        node.endpoints().find(b.getKey()).ifPresent(e -> step(e, b.getValue()));
+      }
     }
     tellQueues();
   }
@@ -231,24 +236,17 @@
 
   /** Called now and then: wants copies of models whose demand outgrows those that there are. */
   public void spread() {
-    long now = node.now();
-    String domain = node.settings().domain();
-    for (ServiceInfo s : node.configuration().map(c -> c.services()).orElse(List.of())) {
-      if (s.engine().isEmpty()) {
-        continue;
-      }
-      for (String model : s.engine().get().models().keySet()) {
-        double rate = node.demand().rate(model, now);
-        boolean held = rate >= CopyPolicy.HOT_PER_S && copies.copies(s.name(), model, now) > 0;
-        if (held && copies.scarce(s.name(), model, domain, now)) {
-          chooser
-              .chooseCopy(s.name(), s.engine().get(), model, domain, now)
-              .filter(e -> owners.holds(e.id(), domain))
-              .filter(e -> node.queues().backlogMs(e.id(), now) == 0)
-              .filter(e -> context(e, book(e), s.engine().get()).needed(model))
-              .ifPresent(e -> onWant(e.id(), model, "", now + SPREAD_GOAL_MS));
-        }
-      }
+    spread.tick();
+  }
+
+  /** Wants a model or an adapter at an endpoint, whoever orders it. */
+  private void wantAt(Endpoint e, String model, String adapter, long goalMs) {
+    String its = e.entry().domain();
+    if (owners.holds(e.id(), its)) {
+      onWant(e.id(), model, adapter, goalMs);
+    } else {
+      PeerMessage.Want want = new PeerMessage.Want(e.id(), model, adapter, goalMs - node.now());
+      owners.holder(e.id(), its).ifPresent(holder -> network.send(holder, want));
     }
   }
 
@@ -274,7 +272,7 @@
             .ifPresent(
                 m -> {
                   node.log().line("prefetch").field("endpoint", e.id()).field("model", m).write();
-                  book.want(m, "", now + SPREAD_GOAL_MS, now);
+                  book.want(m, "", now + Spread.GOAL_MS, now);
                   step(e, book);
                 });
       }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/WaitRoom.java
@@ -23,6 +23,9 @@
   /** When a request comes back that found the room full, in ms. */
   private static final long FULL_RETRY_MS = 1_000;
 
+  /** Time between looks whether those that wait can still be served, in ms. */
+  private static final long JUDGE_MS = 100;
+
   private final NodeContext node;
   private final ModelSource orders;
 
@@ -44,6 +47,7 @@
     private final List<Waiter> waiters = new ArrayList<>();
     private final Map<String, Integer> asked = new HashMap<>();
     private long askedMs = Long.MIN_VALUE / 2;
+    private long judgedMs = Long.MIN_VALUE / 2;
   }
 
   /**
@@ -134,8 +138,11 @@
         queues.remove(key);
       } else {
         ask(key, q);
-        long ready = orders.readyInMs(key.service(), key.model());
-        List.copyOf(q.waiters).forEach(w -> refuseIfLate(w, ready));
+        if (node.now() - q.judgedMs >= JUDGE_MS) {
+          q.judgedMs = node.now();
+          long ready = orders.readyInMs(key.service(), key.model());
+          List.copyOf(q.waiters).forEach(w -> refuseIfLate(w, ready));
+        }
       }
     }
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
 
@@ -41,12 +42,13 @@
   private final PeerLinks network;
   private final Map<String, Peer> byAddress = new HashMap<>();
   private final Map<String, Set<String>> named = new HashMap<>();
+  private final Map<String, Domain> domains = new HashMap<>();
 
   private static final class Peer {
     private final long sinceMs;
     private long heardMs = Long.MIN_VALUE / 2;
     private long listSentMs = Long.MIN_VALUE / 2;
-    private String domain = "";
+    private Optional<Domain> domain = Optional.empty();
 
     private Peer(long sinceMs) {
       this.sinceMs = sinceMs;
@@ -57,6 +59,17 @@
     }
   }
 
+  /** The VMs of a failure domain that have been heard at all. */
+  private static final class Domain {
+    private final String name;
+    private int vms;
+    private long heardMs;
+
+    private Domain(String name) {
+      this.name = name;
+    }
+  }
+
   /**
    * Creates the list, empty.
    *
@@ -101,7 +114,12 @@
       node.log().line("peer_heard").field("peer", digest.address()).write();
     }
     p.heardMs = now;
-    p.domain = digest.domain();
+    if (p.domain.filter(d -> d.name.equals(digest.domain())).isEmpty()) {
+      leaveDomain(p);
+      p.domain = Optional.of(domains.computeIfAbsent(digest.domain(), Domain::new));
+      p.domain.get().vms++;
+    }
+    p.domain.get().heardMs = now;
     if (digest.deaf()) {
       network.reset(digest.address());
     }
@@ -154,19 +172,21 @@
    */
   public Set<String> silentDomains() {
     long now = node.now();
-    Map<String, Integer> vms = new HashMap<>();
-    Map<String, Long> heardMs = new HashMap<>();
-    for (Peer p : byAddress.values()) {
-      vms.merge(p.domain, 1, Integer::sum);
-      heardMs.merge(p.domain, p.heardMs, Math::max);
+    Set<String> names = new HashSet<>();
+    domains.values().stream().filter(d -> silent(d, now)).forEach(d -> names.add(d.name));
+    return names;
+  }
+
+  private boolean silent(Domain d, long now) {
+    if (d.vms == 0 || d.name.equals(node.settings().domain())) {
+      return false;
     }
-    heardMs.keySet().removeAll(List.of("", node.settings().domain()));
-    heardMs.entrySet().removeIf(d -> now - d.getValue() <= domainSilentMs(vms.get(d.getKey())));
-    return heardMs.keySet();
+    long digestMs = rounds() * DIGEST_MS / d.vms;
+    return now - d.heardMs > Math.max(DOMAIN_SILENT_MS, DOMAIN_SILENT_DIGESTS * digestMs);
   }
 
-  private long domainSilentMs(int vms) {
-    return Math.max(DOMAIN_SILENT_MS, DOMAIN_SILENT_DIGESTS * rounds() * DIGEST_MS / vms);
+  private static void leaveDomain(Peer p) {
+    p.domain.ifPresent(d -> d.vms--);
   }
 
   /**
@@ -211,7 +231,14 @@
     // A VM that its group still names may be cut off and spending its share.
     byAddress
         .entrySet()
-        .removeIf(e -> !named(e.getKey()) && now - e.getValue().lastSignMs() > FORGET_MS);
+        .removeIf(
+            e -> {
+              boolean gone = now - e.getValue().lastSignMs() > FORGET_MS && !named(e.getKey());
+              if (gone) {
+                leaveDomain(e.getValue());
+              }
+              return gone;
+            });
     return List.copyOf(byAddress.keySet());
   }
 
@@ -222,7 +249,9 @@
    * @return addresses
    */
   public List<String> inDomain(String domain) {
-    return addresses().stream().filter(a -> byAddress.get(a).domain.equals(domain)).toList();
+    return addresses().stream()
+        .filter(a -> byAddress.get(a).domain.filter(d -> d.name.equals(domain)).isPresent())
+        .toList();
   }
 
   private boolean named(String address) {
@@ -263,13 +292,13 @@
    */
   public int heardCount() {
     long now = node.now();
-    Set<String> cutOff = silentDomains();
     long silentMs = silentMs();
-    return 1
-        + (int)
-            byAddress.values().stream()
-                .filter(p -> now - p.heardMs <= silentMs && !cutOff.contains(p.domain))
-                .count();
+    int heard = 1;
+    for (Peer p : byAddress.values()) {
+      boolean cutOff = p.domain.isPresent() && silent(p.domain.get(), now);
+      heard += now - p.heardMs <= silentMs && !cutOff ? 1 : 0;
+    }
+    return heard;
   }
 
   PeerLinks links() {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaController.java
@@ -16,6 +16,12 @@
   /** Share of the rate until the other VMs are known; a site has at least 7 VMs. */
   private static final double UNKNOWN_SHARE = 0.125;
 
+  /**
+   * Digests to a peer of which one tells all consumption and the others what is new. A VM that has
+   * just started takes what it hears first in {@link Peers#silentMs} as spent before it started.
+   */
+  private static final int FULL_EVERY = 4;
+
   /** Time for which a peer's counts of requests are valid, in times after which it is silent. */
   private static final int RUNNING_VALID = 2;
 
@@ -27,7 +33,11 @@
   /** Uses of models that the peers of each round have not been told of. */
   private final List<Map<String, Long>> modelUses = new ArrayList<>();
 
+  /** Consumption that the peers of each round were told last. */
+  private final List<Map<String, Double>> consumedTold = new ArrayList<>();
+
   private int round;
+  private int roundsTold;
   private final long process;
   private boolean membersKnown;
 
@@ -126,9 +136,11 @@
     int rounds = peers.rounds();
     while (modelUses.size() > rounds) {
       modelUses.remove(modelUses.size() - 1);
+      consumedTold.remove(consumedTold.size() - 1);
     }
     while (modelUses.size() < rounds) {
       modelUses.add(new HashMap<>());
+      consumedTold.add(new HashMap<>());
     }
   }
 
@@ -184,21 +196,38 @@
     fitRounds();
     round = (round + 1) % modelUses.size();
     Map<String, Long> uses = modelUses.get(round);
+    Map<String, Double> consumed = newlyConsumed();
     Map<Boolean, List<String>> byDeaf =
         peers.inRound(round).stream().collect(Collectors.partitioningBy(a -> !peers.audible(a)));
     byDeaf.forEach(
         (deaf, to) -> {
           if (!to.isEmpty()) {
-            peers.links().send(to, digest(deaf, uses, fence, partitions));
+            peers.links().send(to, digest(deaf, consumed, uses, fence, partitions));
           }
         });
     uses.clear();
   }
 
-  private PeerMessage.Digest digest(
-      boolean deaf, Map<String, Long> uses, long fence, Set<Integer> partitions) {
+  /** Returns what the peers of this round have not been told, and all of it now and then. */
+  private Map<String, Double> newlyConsumed() {
+    Map<String, Double> told = consumedTold.get(round);
+    roundsTold++;
+    if (roundsTold % (FULL_EVERY * modelUses.size()) < modelUses.size()) {
+      told.clear();
+    }
     Map<String, Double> consumed = new HashMap<>();
     byCustomer.forEach((name, q) -> consumed.put(name, q.consumed()));
+    consumed.entrySet().removeIf(c -> c.getValue().equals(told.get(c.getKey())));
+    told.putAll(consumed);
+    return consumed;
+  }
+
+  private PeerMessage.Digest digest(
+      boolean deaf,
+      Map<String, Double> consumed,
+      Map<String, Long> uses,
+      long fence,
+      Set<Integer> partitions) {
     return new PeerMessage.Digest(
         process,
         peers.links().self(),
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/DigestScaleTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/DigestScaleTests.java
@@ -35,6 +35,7 @@
   private final NodeContext node = TestNodes.of(now, "d0", "d1", "d2");
   private final List<String> sent = new ArrayList<>();
   private final Map<String, Long> usesTold = new HashMap<>();
+  private final Map<String, List<Long>> toldMs = new HashMap<>();
   private final Peers peers = new Peers(node, new Recorder());
   private final QuotaController quotas = new QuotaController(node, peers, 1);
 
@@ -49,6 +50,9 @@
     public void send(Collection<String> addresses, PeerMessage message) {
       if (message instanceof PeerMessage.Digest d) {
         sent.addAll(addresses);
+        if (d.consumed().containsKey("c")) {
+          addresses.forEach(a -> toldMs.computeIfAbsent(a, x -> new ArrayList<>()).add(now.get()));
+        }
         addresses.forEach(a -> usesTold.merge(a, d.models().getOrDefault("m", 0L), Long::sum));
       }
     }
@@ -119,6 +123,22 @@
     usesTold.forEach((address, told) -> assertEquals(uses, told, address));
   }
 
+  @Test
+  @DisplayName("tell each VM of all consumption before it takes this one to be silent")
+  void consumption() {
+    know(79);
+    quotas.tryTake(TestNodes.customer("c", 0, 0), 1);
+    tellFor(SECONDS);
+
+    assertEquals(78, toldMs.size());
+    toldMs.forEach(
+        (address, times) ->
+            IntStream.range(1, times.size())
+                .forEach(
+                    i -> assertTrue(times.get(i) - times.get(i - 1) < peers.silentMs(), address)));
+    assertTrue(toldMs.values().stream().allMatch(t -> t.size() >= 4), toldMs.toString());
+  }
+
   @Test
   @DisplayName("of 8 reach each other VM five times a second, which bounds what a customer gets")
   void few() {
