Close the kept connections that went silent with one of them

Callers would see: a changed route or key not in force for many seconds after all open connections to the store went silent. Found by looking for the cause of the incident elsewhere: a silence was taken to concern one connection. A read of the configuration that had no answer within 1.9 s was followed by one over the next kept connection, which had gone silent at the same moment; a VM keeps several.

A call over a kept connection that fails now closes the others that are idle; the next call opens a new one. HttpCallsTests.allSilent failed before: the call after the first failure failed too.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/HttpCalls.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/HttpCalls.java
@@ -122,6 +122,13 @@
     return null;
   }
 
+  private void closeIdle(String address) {
+    ArrayDeque<Channel> channels = idle.remove(address);
+    if (channels != null) {
+      channels.forEach(Channel::close);
+    }
+  }
+
   private static Channel poll(ArrayDeque<Channel> channels) {
     return channels == null ? null : channels.pollFirst();
   }
@@ -200,6 +207,10 @@
     }
 
     private void fail(String reason) {
+      if (!over && keep && channel != null) {
+        // Connections go silent together; the next call opens a new one.
+        closeIdle(address);
+      }
       end(new Result.Failed(reason));
     }
 
