Bound the names whose holders are kept, and read on at once before the first state

Found by reading the change: callers may name any model, and each name stayed in the index until an endpoint came or went. At 2,000 names the index begins anew (HolderIndexTests.unknownNames). A digest that comes before the first state has been read makes a VM whose read failed try again at once, as before the change to readNewer.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/HolderIndex.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/HolderIndex.java
@@ -11,12 +11,20 @@
  * square of the endpoints. One owner thread.
  */
 final class HolderIndex {
+  /** Names that are kept, at most; callers may ask for any name, and 920 models are expected. */
+  static final int MOST_MODELS = 2_000;
+
   private final Map<String, Map<String, Found>> byModel = new HashMap<>();
   private final Map<String, List<Endpoint>> byService = new HashMap<>();
 
   /** Holders, and when a passing belief about one of them ends. */
   private record Found(List<Endpoint> holders, long untilMs) {}
 
+  /** Returns the number of names that are kept. */
+  int size() {
+    return byModel.size();
+  }
+
   /** Forgets who holds a model. */
   void changed(String model) {
     byModel.remove(model);
@@ -33,6 +41,9 @@
   }
 
   List<Endpoint> holders(String service, String model, List<Endpoint> all, long now) {
+    if (byModel.size() >= MOST_MODELS) {
+      byModel.clear();
+    }
     Map<String, Found> services = byModel.computeIfAbsent(model, m -> new HashMap<>());
     Found found = services.get(service);
     if (found == null || now >= found.untilMs()) {
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/HolderIndexTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/HolderIndexTests.java
@@ -1,11 +1,13 @@
 package io.kumquatspindle.engine.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Label;
 import net.jqwik.api.Property;
@@ -35,6 +37,17 @@
     }
   }
 
+  @Example
+  @Label("do not fill the memory when callers ask for names that do not exist")
+  void unknownNames() {
+    HolderIndex index = new HolderIndex();
+    for (int i = 0; i < 3 * HolderIndex.MOST_MODELS; i++) {
+      index.holders(Entries.SERVICE, "unknown-" + i, List.of(), 0);
+    }
+
+    assertTrue(index.size() <= HolderIndex.MOST_MODELS);
+  }
+
   private static void apply(EndpointTable table, Change c, long now) {
     String id = "e" + c.endpoint();
     String model = MODELS.get(c.model());
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/Follower.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/Follower.java
@@ -104,7 +104,11 @@
    * have missed to wake it, or its connection may be silent.
    */
   public void readNewer() {
-    if (next.isEmpty() || node.now() - newerSentMs < FAILURE_PAUSE_MS) {
+    if (next.isEmpty()) {
+      read();
+      return;
+    }
+    if (node.now() - newerSentMs < FAILURE_PAUSE_MS) {
       return;
     }
     newerSentMs = node.now();
