Do not take an own pause for silence of the other side

Cause: after its I/O thread had stood still for longer than the silence limit, a link was closed before the frames that had arrived meanwhile were read.

LinkHandler excuses one silence limit after an own pause.

--- a/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/link/LinkHandler.java
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/link/LinkHandler.java
@@ -23,12 +23,15 @@
   private final ChannelLink link;
   private final LinkOptions options;
   private final TrafficHandler traffic;
+  private final PauseDetector pauses;
   private boolean opened;
+  private boolean pauseExcused;
 
   private LinkHandler(ChannelLink link, LinkOptions options, TrafficHandler traffic) {
     this.link = link;
     this.options = options;
     this.traffic = traffic;
+    this.pauses = new PauseDetector(options.heartbeatMs());
   }
 
   /** Installs the handlers of a link in the pipeline of a new channel. */
@@ -53,6 +56,7 @@
   @Override
   public void channelActive(ChannelHandlerContext ctx) {
     opened = true;
+    pauses.start(ctx.executor());
     notifyListener(() -> options.listener.opened(link));
   }
 
@@ -63,6 +67,7 @@
       return;
     }
     traffic.frameReceived();
+    pauseExcused = false;
     Envelope envelope = MessageCodec.decode(ByteBufUtil.getBytes(frame));
     if (envelope.body() instanceof LinkMessage.Heartbeat) {
       return;
@@ -82,14 +87,28 @@
     if (!(event instanceof IdleStateEvent idle)) {
       ctx.fireUserEventTriggered(event);
     } else if (idle.state() == IdleState.READER_IDLE) {
-      link.close("no frame for " + options.silenceLimitMs() + " ms");
+      onSilence();
     } else {
       link.send(new LinkMessage.Heartbeat());
     }
   }
 
+  /**
+   * Closes the connection, unless this thread itself paused: the remote side may have sent frames
+   * that have not been read yet. Only one silence limit in a row is excused, so that frequent
+   * pauses do not keep a dead connection open.
+   */
+  private void onSilence() {
+    if (!pauseExcused && pauses.pausedWithin(options.silenceLimitMs())) {
+      pauseExcused = true;
+      return;
+    }
+    link.close("no frame for " + options.silenceLimitMs() + " ms");
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    pauses.stop();
     String reason = link.onClosed();
     if (opened) {
       notifyListener(() -> options.listener.closed(link, reason));
