Hold data back in a relay until its source is known

Cause: the relay forwarded a first segment that did not hold the name of its source yet, and never looked for the name in later ones. While a fault is limited to some sources, data is now held back until the name has arrived. The new test identifiesSourceInLaterSegment sends the name in a second segment and fails on the old code.

--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/processes/Relay.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/processes/Relay.java
@@ -157,6 +157,11 @@
     return affectedSources.test(source) ? mode : Mode.FORWARD;
   }
 
+  /** Returns whether the connections of some known source are cut or stalled. */
+  boolean affectsKnownSource() {
+    return mode != Mode.FORWARD && knownSources.stream().anyMatch(affectedSources);
+  }
+
   void remove(RelayedConnection c) {
     connections.remove(c);
   }
--- a/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/processes/RelayedConnection.java
+++ b/kumquatspindle-bench/src/main/java/io/kumquatspindle/bench/processes/RelayedConnection.java
@@ -1,6 +1,7 @@
 package io.kumquatspindle.bench.processes;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -13,6 +14,9 @@
   // First byte of a MessagePack string of up to 31 bytes (fixstr), without the length bits.
   private static final int FIXSTR_PREFIX = 0xa0;
 
+  // A VM names itself in its first frame, which is shorter.
+  private static final int MAX_HEAD_BYTES = 1_024;
+
   private final Relay relay;
   private final Channel clientChannel;
   private final ForwardingHandler targetHandler;
@@ -22,6 +26,9 @@
   private boolean permanentlyStalled;
   private ByteBuf pendingData;
 
+  /** The first bytes from the client, in which its name is searched. */
+  private final ByteBuf head = Unpooled.buffer();
+
   RelayedConnection(Relay relay, Channel clientChannel) {
     this.relay = relay;
     this.clientChannel = clientChannel;
@@ -68,7 +75,7 @@
       close();
     } else if (targetChannel != null) {
       boolean forward = mode == Relay.Mode.FORWARD && !permanentlyStalled;
-      if (forward && pendingData != null) {
+      if (forward && pendingData != null && !awaitsName()) {
         targetChannel.writeAndFlush(pendingData);
         pendingData = null;
       }
@@ -77,17 +84,26 @@
     }
   }
 
-  // The client sends its own name first; later messages in the same segment may contain others.
+  /** Returns whether data is held back because the mode depends on a name that is not known yet. */
+  private boolean awaitsName() {
+    return !identified && relay.affectsKnownSource();
+  }
+
+  // The client sends its own name first, possibly in several segments; later messages may contain
+  // other names.
   private void identifySource(ByteBuf data) {
+    int length = Math.min(data.readableBytes(), MAX_HEAD_BYTES - head.readableBytes());
+    head.writeBytes(data, data.readerIndex(), length);
     int first = Integer.MAX_VALUE;
     for (String name : relay.knownSources()) {
-      int at = indexOf(data, name);
+      int at = indexOf(head, name);
       if (at >= 0 && at < first) {
         first = at;
         source = name;
         identified = true;
       }
     }
+    identified |= head.readableBytes() == MAX_HEAD_BYTES;
     applyMode();
   }
 
@@ -119,8 +135,8 @@
       Channel to = ctx.channel() == clientChannel ? targetChannel : clientChannel;
       if (ctx.channel() == clientChannel && !identified) {
         identifySource((ByteBuf) msg);
-        if (relay.modeFor(source) == Relay.Mode.STALL) {
-          pendingData = (ByteBuf) msg;
+        if (relay.modeFor(source) == Relay.Mode.STALL || awaitsName()) {
+          holdBack((ByteBuf) msg);
           return;
         }
       }
@@ -136,6 +152,10 @@
       }
     }
 
+    private void holdBack(ByteBuf data) {
+      pendingData = pendingData == null ? data : Unpooled.wrappedBuffer(pendingData, data);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       long wait = Math.max(0, lastDueNanos - System.nanoTime());
--- a/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/processes/RelayTests.java
+++ b/kumquatspindle-bench/src/test/java/io/kumquatspindle/bench/processes/RelayTests.java
@@ -97,6 +97,24 @@
     }
   }
 
+  @Test
+  @DisplayName("identifies a source whose name does not arrive in the first segment")
+  void identifiesSourceInLaterSegment() throws IOException {
+    relay.stall(Set.of("vm-1"));
+    try (Socket vm1 = connect();
+        Socket vm10 = connect()) {
+      for (Socket s : List.of(vm1, vm10)) {
+        s.getOutputStream().write(0x90);
+        // Waits until the first segment has been read; nothing is forwarded without a name.
+        assertThrows(SocketTimeoutException.class, () -> s.getInputStream().read());
+      }
+      vm1.getOutputStream().write("\u00a4vm-1!".getBytes(StandardCharsets.ISO_8859_1));
+      vm10.getOutputStream().write("\u00a5vm-10!".getBytes(StandardCharsets.ISO_8859_1));
+      assertEquals(0x90, vm10.getInputStream().read());
+      assertThrows(SocketTimeoutException.class, () -> vm1.getInputStream().read());
+    }
+  }
+
   @Test
   @DisplayName("forwards data in both directions")
   void passes() throws IOException {
