Read only the newest configuration after an outage

After a failed read, and when a peer names a newer version, the newest record is read.

An exception while records are handled is logged and no longer ends the reading. The delay between reads of the endpoints follows the time that the platform allows to stop using one (900 ms of 2 s as before, 1.8 s of 4 s): calls to the store are the dearest price of the large sites.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -40,9 +40,6 @@
    */
   private static final long CONFIGURATION_READ_DELAY_MS = 150;
 
-  /** Delay between reads of the endpoints, in ms; well below the time allowed to stop using one. */
-  private static final long ENDPOINTS_READ_DELAY_MS = 900;
-
   /** Interval of the checks of orders and of waiting requests, in ms. */
   private static final long TICK_INTERVAL_MS = 20;
 
@@ -127,7 +124,7 @@
             store,
             RecordStore.Topic.ENDPOINTS,
             0,
-            ENDPOINTS_READ_DELAY_MS,
+            settings.endpointsReadDelayMs(),
             fleetState.endpointRecordListener());
     front = FrontServerFactory.create(node, adapter.headers(), pendingRequests, quotas, peers);
   }
@@ -181,15 +178,10 @@
     try {
       task.run();
     } catch (RuntimeException e) {
-      node.log().line("internal_error").field("reason", describe(e)).write();
+      node.log().internalError(e);
     }
   }
 
-  private static String describe(RuntimeException e) {
-    StackTraceElement[] trace = e.getStackTrace();
-    return e + (trace.length > 0 ? " at " + trace[0] : "");
-  }
-
   private void checkGroup() {
     ownership.tick();
     avoidSilentDomains();
@@ -254,7 +246,6 @@
               node.log().line("stop").write();
               node.markStopping();
               ownership.leave(() -> {});
-              node.schedule(NodeContext.ACCEPT_AFTER_STOP_MS, front::stopAccepting);
               node.schedule(NodeContext.ACCEPT_AFTER_STOP_MS, () -> drain(startMs));
             });
     try {
@@ -271,7 +262,8 @@
     if (remainingMs <= REFUSE_WAITING_RESERVE_MS) {
       front.rejectWaitingRequests();
     }
-    if (front.connectionCount() == 0 || remainingMs <= EXIT_RESERVE_MS) {
+    if (front.drained() || remainingMs <= EXIT_RESERVE_MS) {
+      front.stopAccepting();
       node.log().line("stopped").field("cut_off", front.connectionCount()).write();
       stopped.countDown();
       return;
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeSettings.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeSettings.java
@@ -22,6 +22,7 @@
  * @param storePartitions number of partitions of a topic
  * @param groupTtlMinMs minimum time to live of a group membership, in ms
  * @param configurationMs time within which a new configuration has to be in force, in ms
+ * @param drainMs time within which requests must stop going to an endpoint that leaves, in ms
  * @param fenced whether endpoints reject orders with outdated fencing numbers
  * @param leaseMs time between the orders of successive partition holders, in ms
  * @param budgetWindowMs sliding window of the retry budget, in ms
@@ -45,6 +46,7 @@
     int storePartitions,
     long groupTtlMinMs,
     long configurationMs,
+    long drainMs,
     boolean fenced,
     long leaseMs,
     long budgetWindowMs,
@@ -84,6 +86,7 @@
             (int) s.number("store", "partitions", 8, 1, 1_000),
             s.number("store", "member_ttl_min_ms", 1_000, 1, HOUR_MS),
             s.number("configuration", "in_force_ms", 2_000, 1, HOUR_MS),
+            s.number("endpoints", "drain_ms", 2_000, 1, HOUR_MS),
             s.flag("orders", "fencing", false),
             s.number("orders", "lease_ms", 3_000, 0, HOUR_MS),
             s.number("second_sends", "window_s", 10, 1, 3_600) * 1_000,
@@ -105,8 +108,8 @@
     String host = "127.0.0.1";
     List<String> domains = List.of("domain");
     return new NodeSettings(
-        "vm", host, "domain", domains, true, 0, 0, 0, 0, host, 1, 8, 1_000, 2_000, true, 3_000,
-        10_000, 0, 0, 1_000, 1);
+        "vm", host, "domain", domains, true, 0, 0, 0, 0, host, 1, 8, 1_000, 2_000, 2_000, true,
+        3_000, 10_000, 0, 0, 1_000, 1);
   }
 
   /**
@@ -119,6 +122,16 @@
     return configurationMs / 2;
   }
 
+  /**
+   * Returns the delay between reads of the endpoints. A read that fails once, and a slow response,
+   * must not let requests go to an endpoint that leaves for too long.
+   *
+   * @return time in ms
+   */
+  public long endpointsReadDelayMs() {
+    return drainMs * 9 / 20;
+  }
+
   private static double decimal(Settings s, String section, String key) {
     return s.value(section, key, "a number that is not negative", NodeSettings::nonNegative)
         .orElse(0.0);
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/FleetStateUpdater.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/FleetStateUpdater.java
@@ -97,7 +97,8 @@
           .field("version_before", before)
           .write();
       configurationListener.accept(c);
-    } catch (MalformedRecordException e) {
+    } catch (MalformedRecordException | RuntimeException e) {
+      // An unexpected exception must not keep the reader from the records that follow.
       node.log()
           .line("configuration_unreadable")
           .field("reason", e.getMessage())
@@ -158,7 +159,7 @@
             .write();
       }
       node.endpoints().put(e);
-    } catch (MalformedRecordException e) {
+    } catch (MalformedRecordException | RuntimeException e) {
       node.log()
           .line("endpoint_unreadable")
           .field("endpoint", id)
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/TopicReader.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/TopicReader.java
@@ -8,7 +8,8 @@
 
 /**
  * Reads one topic of the store: first a snapshot of the newest record of each key, then records as
- * they are written. Starts again with a snapshot if records were deleted before they were read.
+ * they are written. Starts again with a snapshot if records were deleted before they were read. In
+ * a topic in which each record replaces the one before it, records that were missed are skipped.
  */
 public final class TopicReader {
   /** Delay after the first failed read, in ms; doubled after each further failure in a row. */
@@ -96,10 +97,10 @@
     readPending = true;
     readSentMs = node.now();
     long id = ++currentReadId;
-    if (nextOffset.isEmpty()) {
-      store.readLatest(topic, a -> onResponse(id, a));
+    if (nextOffset.isEmpty() || (failing && topic.newestReplacesOthers())) {
+      store.readLatest(topic, a -> onResponse(id, a, true));
     } else {
-      store.read(topic, nextOffset.getAsLong(), waitMs, a -> onResponse(id, a));
+      store.read(topic, nextOffset.getAsLong(), waitMs, a -> onResponse(id, a, false));
     }
   }
 
@@ -117,17 +118,22 @@
       return;
     }
     immediateReadPending = true;
-    store.read(topic, nextOffset.getAsLong(), 0, a -> runTimed(() -> onImmediateResponse(a)));
+    if (topic.newestReplacesOthers()) {
+      store.readLatest(topic, a -> runTimed(() -> onImmediateResponse(a, true)));
+    } else {
+      store.read(
+          topic, nextOffset.getAsLong(), 0, a -> runTimed(() -> onImmediateResponse(a, false)));
+    }
   }
 
-  private void onImmediateResponse(RecordStore.ReadResult result) {
+  private void onImmediateResponse(RecordStore.ReadResult result, boolean snapshot) {
     immediateReadPending = false;
     boolean failed = result instanceof RecordStore.ReadResult.Failed;
     nextImmediateReadMs = node.now() + (failed ? MAX_RETRY_DELAY_MS : MIN_RETRY_DELAY_MS);
     if (result instanceof RecordStore.ReadResult.Records r && r.next() > nextOffset.orElse(0)) {
       // The pending read asks for records that have now been read; its response is ignored.
       currentReadId++;
-      handleResult(result);
+      handleResult(result, snapshot);
     } else if (result instanceof RecordStore.ReadResult.Failed f) {
       node.log()
           .line("read_failed")
@@ -166,9 +172,9 @@
         .write();
   }
 
-  private void onResponse(long id, RecordStore.ReadResult result) {
+  private void onResponse(long id, RecordStore.ReadResult result, boolean snapshot) {
     if (id == currentReadId) {
-      runTimed(() -> handleResult(result));
+      runTimed(() -> handleResult(result, snapshot));
     }
   }
 
@@ -176,21 +182,15 @@
     node.taskTimer().run("records_" + topic.name().toLowerCase(Locale.ROOT), task);
   }
 
-  private void handleResult(RecordStore.ReadResult result) {
+  private void handleResult(RecordStore.ReadResult result, boolean snapshot) {
     readPending = false;
     long delayMs = readDelayMs;
     if (result instanceof RecordStore.ReadResult.Records r) {
       onStoreAvailable();
-      boolean first = nextOffset.isEmpty();
       logRecords(r);
       nextOffset = OptionalLong.of(r.next());
-      if (first) {
-        listener.onSnapshot(r.records());
-        delayMs = 0;
-      } else {
-        r.records().forEach(listener::onRecord);
-      }
-      listener.onConfirmed();
+      deliver(r, snapshot);
+      delayMs = snapshot ? 0 : readDelayMs;
     } else if (result instanceof RecordStore.ReadResult.Deleted) {
       onStoreAvailable();
       node.log().line("records_forgotten").field("topic", topic.name()).write();
@@ -212,6 +212,20 @@
     node.schedule(delayMs, this::read);
   }
 
+  /** Delivers records. A failure to handle them is logged, so that it does not end the reading. */
+  private void deliver(RecordStore.ReadResult.Records r, boolean snapshot) {
+    try {
+      if (snapshot) {
+        listener.onSnapshot(r.records());
+      } else {
+        r.records().forEach(listener::onRecord);
+      }
+      listener.onConfirmed();
+    } catch (RuntimeException e) {
+      node.log().internalError(e);
+    }
+  }
+
   private void onStoreAvailable() {
     retryDelayMs = MIN_RETRY_DELAY_MS;
     if (failing) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/observe/EventLog.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/observe/EventLog.java
@@ -80,6 +80,17 @@
     return line;
   }
 
+  /**
+   * Writes a line about an exception that no part of the program expects.
+   *
+   * @param cause the exception
+   */
+  public void internalError(Throwable cause) {
+    StackTraceElement[] trace = cause.getStackTrace();
+    String location = trace.length > 0 ? " at " + trace[0] : "";
+    line("internal_error").field("reason", cause + location).write();
+  }
+
   @Override
   public void close() {
     if (queue.offer(END_MARKER)) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/port/RecordStore.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/port/RecordStore.java
@@ -14,10 +14,26 @@
 
   /** Topic of records. */
   enum Topic {
-    /** The operator's configuration. */
-    CONFIGURATION,
+    /** The operator's configuration, of which each version is complete. */
+    CONFIGURATION(true),
     /** Service discovery entries. */
-    ENDPOINTS
+    ENDPOINTS(false);
+
+    private final boolean newestReplacesOthers;
+
+    Topic(boolean newestReplacesOthers) {
+      this.newestReplacesOthers = newestReplacesOthers;
+    }
+
+    /**
+     * Returns whether the newest record makes all earlier ones obsolete, so that a reader that has
+     * fallen behind need not read them.
+     *
+     * @return whether the newest record suffices
+     */
+    public boolean newestReplacesOthers() {
+      return newestReplacesOthers;
+    }
   }
 
   /**
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/TestNodes.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/TestNodes.java
@@ -88,6 +88,7 @@
         8,
         1_000,
         2_000,
+        2_000,
         true,
         3_000,
         10_000,
