--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/CallerConnectionHandler.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/CallerConnectionHandler.java
@@ -28,6 +28,7 @@
   private final ArrayDeque<FullHttpRequest> pipelined = new ArrayDeque<>();
   private Exchange current;
   private long lastActivityMs;
+  private boolean unused = true;
 
   CallerConnectionHandler(NodeContext node, ExchangeFactory exchanges) {
     this.node = node;
@@ -45,8 +46,14 @@
     return !busy() && node.now() - lastActivityMs >= ms;
   }
 
+  /** Returns whether no part of a request has arrived yet. */
+  boolean unused() {
+    return unused;
+  }
+
   /** Records that a part of a request has arrived. */
   void recordActivity() {
+    unused = false;
     lastActivityMs = node.now();
   }
 
@@ -139,9 +146,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (!(cause instanceof IOException)) {
-      StackTraceElement[] trace = cause.getStackTrace();
-      String location = trace.length > 0 ? " at " + trace[0] : "";
-      node.log().line("internal_error").field("reason", cause + location).write();
+      node.log().internalError(cause);
     }
     ctx.close();
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/CallerResponseWriter.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/CallerResponseWriter.java
@@ -14,7 +14,10 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 
-/** Writes the response to one request to the caller's connection. */
+/**
+ * Writes the response to one request to the caller's connection. Writes nothing once the response
+ * has ended, since the connection may then carry the response to the next request.
+ */
 final class CallerResponseWriter {
   private final Channel channel;
   private final boolean closeAfterResponse;
@@ -46,6 +49,11 @@
 
   /** Writes a complete response. */
   void writeFull(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
+    if (started || ended) {
+      body.release();
+      abort();
+      return;
+    }
     started = true;
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
@@ -58,6 +66,10 @@
 
   /** Writes the head of a response whose body follows in parts. */
   void writeHead(HttpResponseStatus status, HttpHeaders headers) {
+    if (started || ended) {
+      abort();
+      return;
+    }
     started = true;
     DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
     head.headers().set(headers);
@@ -71,6 +83,10 @@
 
   /** Writes a part of the body and releases the buffer. */
   void writeData(ByteBuf data) {
+    if (ended) {
+      data.release();
+      return;
+    }
     channel.writeAndFlush(new DefaultHttpContent(data));
   }
 
@@ -81,6 +97,9 @@
 
   /** Closes the connection without ending the body, so that it cannot be taken for complete. */
   void abort() {
+    if (ended) {
+      return;
+    }
     ended = true;
     channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
@@ -3,7 +3,9 @@
 import io.kumquatspindle.api.fleet.CallKind;
 import io.kumquatspindle.api.fleet.EndpointEntry;
 import io.kumquatspindle.api.fleet.ResponseHead;
+import io.kumquatspindle.api.fleet.RouteSpec;
 import io.kumquatspindle.engine.fleet.Endpoint;
+import io.kumquatspindle.engine.fleet.ResponseTimeEstimator;
 import io.kumquatspindle.node.port.HeaderCodec;
 import io.kumquatspindle.node.relay.UpstreamRequest;
 import io.netty.buffer.ByteBuf;
@@ -15,6 +17,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -30,15 +33,21 @@
    */
   private static final long MIN_FIRST_BYTE_TIMEOUT_MS = 300;
 
-  /** Idle time after which a stream counts as stalled, in ms; pauses of 0.3 s are on time. */
-  private static final long STREAM_IDLE_TIMEOUT_MS = 1_000;
+  /**
+   * Time without an event after which a stream counts as stalled, as a share of the time after
+   * which clients abandon it. Leaves the other half for the resumption at another endpoint.
+   */
+  private static final double STALLED_CLIENT_TIMEOUTS = 0.5;
 
-  /** Timeout for the first byte of a stream, in multiples of the route's goal. */
+  /** Minimum timeout for the first byte of a stream, in multiples of the route's goal. */
   private static final double STREAM_TIMEOUT_GOALS = 0.6;
 
   /** Timeout for the first byte of any other response, in multiples of the route's goal. */
   private static final double FULL_RESPONSE_TIMEOUT_GOALS = 3;
 
+  /** Time without a response after which a kept connection counts as silent, in ms. */
+  private static final long MIN_CONNECTION_STALL_MS = 1_000;
+
   private final Exchange exchange;
   private final FrontContext context;
   private final Endpoint endpoint;
@@ -50,10 +59,12 @@
   private HttpResponse head;
   private boolean notRun;
   private boolean streaming;
-  private boolean sent;
+  private boolean large;
   private boolean finished;
-  private long lastByteMs;
-  private ScheduledFuture<?> idleTimer;
+  private boolean stallRecorded;
+  private long sentMs;
+  private long lastProgressMs;
+  private ScheduledFuture<?> stallTimer;
 
   EndpointAttempt(
       Exchange exchange,
@@ -86,17 +97,16 @@
         || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
       outbound.headers().set(HttpHeaderNames.CONTENT_LENGTH, outbound.content().readableBytes());
     }
-    outbound.headers().set(HttpHeaderNames.CONNECTION, "close");
+    // Only a response with an id can be matched to its request on a kept connection.
+    boolean mayReuse =
+        !exchange.id().isEmpty() && (exchange.route().repeatable() || exchange.route().resumable());
     upstream =
-        UpstreamRequest.send(context.node().loop(), entry.host(), entry.port(), outbound, this);
-  }
-
-  boolean wasSent() {
-    return sent;
+        UpstreamRequest.send(
+            context.connections(), entry.host(), entry.port(), outbound, mayReuse, this);
   }
 
   void cancel() {
-    if (finish()) {
+    if (finish() && upstream != null) {
       upstream.cancel();
     }
   }
@@ -110,8 +120,8 @@
       return false;
     }
     finished = true;
-    if (idleTimer != null) {
-      idleTimer.cancel(false);
+    if (stallTimer != null) {
+      stallTimer.cancel(false);
     }
     endpoint.requestEnded();
     context.node().activeRequests().ended(endpoint.id(), exchange.model(), exchange.adapter());
@@ -127,101 +137,184 @@
 
   @Override
   public void onSent() {
-    sent = true;
-    lastByteMs = context.node().now();
-    scheduleIdleCheck(firstByteTimeoutMs());
+    exchange.onSent();
+    sentMs = context.node().now();
+    lastProgressMs = sentMs;
+    scheduleStallCheck(firstByteTimeoutMs());
   }
 
   private long firstByteTimeoutMs() {
-    double goals =
-        exchange.route().kind() == CallKind.STREAM
-            ? STREAM_TIMEOUT_GOALS
-            : FULL_RESPONSE_TIMEOUT_GOALS;
-    return Math.max(
-        MIN_FIRST_BYTE_TIMEOUT_MS, Math.round(goals * exchange.route().latencyTargetMs()));
+    RouteSpec route = exchange.route();
+    if (route.kind() != CallKind.STREAM) {
+      return Math.max(
+          MIN_FIRST_BYTE_TIMEOUT_MS,
+          Math.round(FULL_RESPONSE_TIMEOUT_GOALS * route.latencyTargetMs()));
+    }
+    long min =
+        Math.max(
+            MIN_FIRST_BYTE_TIMEOUT_MS, Math.round(STREAM_TIMEOUT_GOALS * route.latencyTargetMs()));
+    return responseTimes().timeoutMs(exchange.tokens(), min, Math.max(min, stalledStreamMs()));
   }
 
-  /** Schedules a check whether the endpoint has sent anything in the meantime. */
-  private void scheduleIdleCheck(long delayMs) {
-    idleTimer =
-        context.node().loop().schedule(() -> checkIdle(delayMs), delayMs, TimeUnit.MILLISECONDS);
+  private ResponseTimeEstimator responseTimes() {
+    return context.responseTimes().of(exchange.route().name());
   }
 
-  private void checkIdle(long delayMs) {
-    long idleMs = context.node().now() - lastByteMs;
-    long timeoutMs = head == null ? delayMs : STREAM_IDLE_TIMEOUT_MS;
+  private long stalledStreamMs() {
+    return Math.round(STALLED_CLIENT_TIMEOUTS * exchange.route().clientTimeoutMs());
+  }
+
+  private long stallTimeoutMs() {
+    return head == null ? firstByteTimeoutMs() : stalledStreamMs();
+  }
+
+  /** Schedules a check whether the endpoint has made progress in the meantime. */
+  private void scheduleStallCheck(long delayMs) {
+    stallTimer = context.node().loop().schedule(this::checkStall, delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Returns whether the kept connection has probably gone silent. A loaded endpoint may need longer
+   * than the first timeout, and would start over if the request was sent to it again.
+   */
+  private boolean connectionStalled(long stalledMs) {
+    return head == null
+        && upstream.onKeptConnection()
+        && stalledMs >= Math.max(firstByteTimeoutMs(), MIN_CONNECTION_STALL_MS);
+  }
+
+  private void checkStall() {
     if (finished) {
       return;
     }
-    if (idleMs < timeoutMs) {
-      scheduleIdleCheck(timeoutMs - idleMs);
-    } else if (exchange.onIdleTimeout(endpoint, idleMs)) {
-      onFailed("no data for " + idleMs + " ms");
+    long now = context.node().now();
+    if (!forwarder.isWritable()) {
+      // Nothing is read from the endpoint while the caller does not read.
+      lastProgressMs = now;
+    }
+    long stalledMs = now - lastProgressMs;
+    if (stalledMs < stallTimeoutMs()) {
+      scheduleStallCheck(stallTimeoutMs() - stalledMs);
+      return;
+    }
+    if (!stallRecorded) {
+      stallRecorded = true;
+      if (head == null) {
+        responseTimes().record(exchange.tokens(), stalledMs);
+      }
+      exchange.log().stalled(endpoint, stalledMs);
+    }
+    if (connectionStalled(stalledMs) && exchange.takeRetry("connection_stalled")) {
+      finish();
+      upstream.cancel();
+      // Connections to an endpoint stall together.
+      context.connections().closeIdle(endpoint.entry().address());
+      exchange.resend(endpoint);
+    } else if (exchange.mayReplaceStalled()) {
+      finish();
+      upstream.cancel();
+      exchange.onStalled(endpoint, "no progress for " + stalledMs + " ms");
+    } else {
+      scheduleStallCheck(stallTimeoutMs());
     }
   }
 
   @Override
-  public void onHead(HttpResponse response) {
-    lastByteMs = context.node().now();
+  public boolean onHead(HttpResponse response, boolean keptConnection) {
     ResponseHead info = context.headerCodec().decodeResponse(response);
+    // On a kept connection, a response without id may be a late copy of an earlier one.
+    boolean own = info.requestId().map(id -> id.equals(exchange.id())).orElse(!keptConnection);
+    if (!own && keptConnection) {
+      exchange.log().foreignResponse(endpoint, info.requestId().orElse(""));
+      return false;
+    }
+    lastProgressMs = context.node().now();
+    responseTimes().record(exchange.tokens(), lastProgressMs - sentMs);
     info.load().ifPresent(l -> endpoint.recordLoad(l, context.node().now()));
-    if (info.requestId().isPresent() && !info.requestId().get().equals(exchange.id())) {
+    if (!own) {
       onFailed("response carries the id of another request");
-      return;
+      return true;
     }
     boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
     if (success
         && (!info.authenticated()
             || response.headers().contains(HttpHeaderNames.CONTENT_ENCODING))) {
       onFailed("successful response without proof of origin or with Content-Encoding");
-      return;
+      return true;
     }
     head = response;
     notRun = info.notRun() || response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
     if (!notRun && !info.authenticated()) {
       onFailed("response without proof of origin, status " + response.status().code());
-      return;
+      return true;
     }
     streaming = success && exchange.route().kind() == CallKind.STREAM;
     if (streaming) {
-      forwarder.startStream(response, exchange.route().resumable());
+      forwarder.startEvents(response, exchange.route().resumable());
     } else if (forwarder.started() && !notRun) {
       onFailed("status " + response.status().code() + " in reply to the resumption of a stream");
     }
+    return true;
   }
 
   @Override
   public void onData(ByteBuf data) {
-    lastByteMs = context.node().now();
+    if (finished) {
+      return;
+    }
     if (streaming) {
+      forwardEvents(data);
+    } else if (large) {
+      lastProgressMs = context.node().now();
       forwarder.sendData(data);
       upstream.setReading(forwarder.isWritable());
-      return;
+    } else {
+      lastProgressMs = context.node().now();
+      buffer(data);
     }
-    boolean tooLarge = bufferedBody.readableBytes() + data.readableBytes() > MAX_BUFFERED_BYTES;
-    if (tooLarge && notRun) {
-      // The head already states that the request has not run; the body may be endless.
-      if (finish()) {
-        upstream.cancel();
-        exchange.onNotRun(endpoint, head.status().code());
-      }
+  }
+
+  /** Forwards events. Bytes that make up no event do not count as progress. */
+  private void forwardEvents(ByteBuf data) {
+    long before = forwarder.eventCount();
+    try {
+      forwarder.sendData(data);
+    } catch (IllegalStateException e) {
+      onFailed(e.getMessage());
       return;
     }
-    if (tooLarge) {
-      streaming = true;
-      forwarder.startStream(head, false);
+    if (forwarder.eventCount() > before) {
+      lastProgressMs = context.node().now();
+    }
+    upstream.setReading(forwarder.isWritable());
+  }
+
+  private void buffer(ByteBuf data) {
+    if (bufferedBody.readableBytes() + data.readableBytes() <= MAX_BUFFERED_BYTES) {
+      bufferedBody.writeBytes(data);
+    } else if (!notRun) {
+      large = true;
+      forwarder.startBody(head);
       forwarder.sendData(bufferedBody);
       forwarder.sendData(data);
-      return;
+    } else if (finish()) {
+      // The head already states that the request has not run; the body may be endless.
+      upstream.cancel();
+      exchange.onNotRun(endpoint, head.status().code());
     }
-    bufferedBody.writeBytes(data);
   }
 
   @Override
   public void onComplete() {
-    if (!finish()) {
+    if (finished) {
       return;
     }
+    if (streaming && forwarder.inPartialEvent() && !framed(head)) {
+      // Without framing, a body that was cut off ends in the same way as a complete one.
+      onFailed("stream ended within an event");
+      return;
+    }
+    finish();
     int status = head.status().code();
     if (notRun) {
       exchange.onNotRun(endpoint, status);
@@ -229,10 +322,10 @@
     }
     boolean failed = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
     endpoint.recordOutcome(failed, context.node().now());
-    if (failed && exchange.retryElsewhere(endpoint)) {
+    if (failed && !large && exchange.retryElsewhere(endpoint)) {
       return;
     }
-    if (streaming) {
+    if (streaming || large) {
       forwarder.endStream();
     } else {
       forwarder.sendFull(head, bufferedBody);
@@ -240,6 +333,17 @@
     exchange.onServed(endpoint, status);
   }
 
+  private static boolean framed(HttpResponse response) {
+    return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+  }
+
+  @Override
+  public void onConnectionLost() {
+    if (finish()) {
+      exchange.onConnectionLost(endpoint);
+    }
+  }
+
   @Override
   public void onFailed(String reason) {
     if (finish()) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -5,15 +5,13 @@
 import io.kumquatspindle.api.fleet.RouteSpec;
 import io.kumquatspindle.api.model.ExecutionStatus;
 import io.kumquatspindle.engine.fleet.Endpoint;
-import io.kumquatspindle.node.observe.EventLog;
 import io.kumquatspindle.node.port.HeaderCodec;
 import io.netty.handler.codec.http.FullHttpRequest;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /**
  * Handles one request of a caller: authorises and charges it, chooses an endpoint, sends it with
@@ -23,21 +21,17 @@
   /** Remaining time below which a request that was not sent is rejected, in ms. */
   private static final long DEADLINE_MARGIN_MS = 80;
 
-  /** Number of failed connects after which a request is given up. */
-  private static final int MAX_UNREACHABLE_ENDPOINTS = 4;
-
   private final FrontContext context;
   private final FullHttpRequest request;
   private final ResponseForwarder forwarder;
   private final Admission admission;
+  private final ExchangeLog log;
+  private final String path;
   private final long arrivedMs;
-  private final Set<String> tried = new HashSet<>();
+  private final AttemptHistory history = new AttemptHistory();
   private RequestHead head;
   private String service = "";
   private long deadlineMs;
-  private int unreachableCount;
-  private int sendCount;
-  private int failedRuns;
   private Optional<EndpointAttempt> attempt = Optional.empty();
   private ScheduledFuture<?> timer;
   private Optional<ModelWait> modelWait = Optional.empty();
@@ -46,9 +40,11 @@
   Exchange(FrontContext context, FullHttpRequest request, CallerResponseWriter caller) {
     this.context = context;
     this.request = request;
+    this.path = request.uri().split("\\?", 2)[0];
     this.arrivedMs = context.node().now();
     this.forwarder = new ResponseForwarder(context, caller);
     this.admission = new Admission(context);
+    this.log = new ExchangeLog(context, admission, arrivedMs);
   }
 
   /** Starts the handling; may answer the request before it returns. */
@@ -58,13 +54,14 @@
     }
     try {
       head = context.headerCodec().decodeRequest(request);
+      log.setId(head.id());
     } catch (IllegalArgumentException e) {
       fail(ErrorKind.MALFORMED_REQUEST, 0, String.valueOf(e.getMessage()));
       return;
     }
-    Optional<ErrorKind> denied = admission.checkNewRequest(head, path());
+    Optional<ErrorKind> denied = admission.checkNewRequest(head, path);
     if (denied.isPresent()) {
-      fail(denied.get(), DEFAULT_RETRY_AFTER_MS, admission.describeDenial(head, path()));
+      fail(denied.get(), DEFAULT_RETRY_AFTER_MS, admission.describeDenial(head, path));
       return;
     }
     deadlineMs = arrivedMs + Math.min(head.deadlineMs(), route().timeoutMs());
@@ -86,17 +83,21 @@
   /** Retry-After of rejections without a better estimate, in ms. */
   static final long DEFAULT_RETRY_AFTER_MS = 400;
 
-  private String path() {
-    String uri = request.uri();
-    int query = uri.indexOf('?');
-    return query < 0 ? uri : uri.substring(0, query);
-  }
-
   private void dispatch() {
     if (finished) {
       return;
     }
-    Optional<ErrorKind> denied = admission.check(head, path());
+    try {
+      chooseEndpoint();
+    } catch (RuntimeException e) {
+      // The caller must get an answer all the same.
+      context.node().log().internalError(e);
+      fail(ErrorKind.INTERNAL, 0, String.valueOf(e.getMessage()));
+    }
+  }
+
+  private void chooseEndpoint() {
+    Optional<ErrorKind> denied = admission.check(head, path);
     if (denied.isPresent()) {
       fail(denied.get(), DEFAULT_RETRY_AFTER_MS, "configuration changed while waiting");
       return;
@@ -110,7 +111,8 @@
       return;
     }
     List<Endpoint> candidates = candidates(now);
-    Optional<Endpoint> next = context.selector().choose(candidates, tried, head.prefixHash(), now);
+    Optional<Endpoint> next =
+        context.selector().choose(candidates, history.tried(), head.prefixHash(), now);
     if (next.isPresent()) {
       send(next.get(), now);
     } else if (needsModel()) {
@@ -134,8 +136,7 @@
   }
 
   private void send(Endpoint endpoint, long now) {
-    sendCount++;
-    tried.add(endpoint.id());
+    history.started(endpoint.id());
     Optional<String> resumeAfter =
         forwarder.lastEventId().isPresent() ? forwarder.lastEventId() : head.resumeAfter();
     HeaderCodec.Forward params =
@@ -148,52 +149,44 @@
     if (!head.model().isEmpty()) {
       context.pendingRequests().recordUse(endpoint, head.model(), head.adapter());
     }
-    logLine("sent")
-        .field("endpoint", endpoint.id())
-        .field("address", endpoint.entry().address())
-        .field("attempt", sendCount)
-        .field("use_pct", (long) (100 * endpoint.utilization(now)))
-        .field("customer", admission.customerName().orElse(""))
-        .field("charged", (long) admission.chargedCost())
-        .field("level", admission.remainingQuota())
-        .write();
+    log.sent(endpoint, history.sendCount());
     attempt = Optional.of(new EndpointAttempt(this, context, endpoint, request, params, forwarder));
     attempt.get().start();
   }
 
+  /** Called when the request is being sent. */
+  void onSent() {
+    history.sent();
+  }
+
   /** Called when the connect to the endpoint failed, so that the request was not sent. */
   void onUnreachable(Endpoint endpoint) {
     attempt = Optional.empty();
-    long now = context.node().now();
-    endpoint.recordConnectFailure(now);
-    logLine("unreachable").field("endpoint", endpoint.id()).write();
-    if (++unreachableCount >= MAX_UNREACHABLE_ENDPOINTS && failedRuns == 0) {
-      fail(ErrorKind.NO_ENDPOINT, DEFAULT_RETRY_AFTER_MS, "no endpoint reachable");
-    } else if (forwarder.started() && unreachableCount >= MAX_UNREACHABLE_ENDPOINTS) {
-      abort("no reachable endpoint to resume the stream");
-    } else {
+    endpoint.recordConnectFailure(context.node().now());
+    log.line("unreachable", endpoint).write();
+    if (history.unreachable()) {
       dispatch();
+    } else {
+      fail(ErrorKind.NO_ENDPOINT, DEFAULT_RETRY_AFTER_MS, "no endpoint reachable");
     }
   }
 
   void onNotRun(Endpoint endpoint, int status) {
     attempt = Optional.empty();
+    history.notRun();
     long now = context.node().now();
-    logLine("not_run").field("endpoint", endpoint.id()).field("status", status).write();
+    log.line("not_run", endpoint).field("status", status).write();
     if (status == MISDIRECTED && !head.model().isEmpty()) {
       String adapter = endpoint.holds(head.model(), "", now) ? head.adapter() : "";
       endpoint.updateHolding(head.model(), adapter, false, now);
+      history.forget(endpoint.id());
     } else {
       endpoint.avoidUntil(now + OVERLOAD_AVOID_MS);
     }
-    if (context.retryBudgets().tryRetry(service)) {
-      context.metrics().recordRetry("not_run");
-      tried.remove(status == MISDIRECTED ? endpoint.id() : "");
+    if (takeRetry("not_run")) {
       dispatch();
-    } else if (failedRuns == 0) {
-      fail(ErrorKind.ENDPOINT_REFUSED, DEFAULT_RETRY_AFTER_MS, "endpoint status " + status);
     } else {
-      failAfterRun("retry not run by the endpoint");
+      fail(ErrorKind.ENDPOINT_REFUSED, DEFAULT_RETRY_AFTER_MS, "endpoint status " + status);
     }
   }
 
@@ -204,105 +197,124 @@
 
   /** Called when there is no usable response although the request may have run. */
   void onFailed(Endpoint endpoint, String reason) {
-    attempt = Optional.empty();
-    boolean mayRetry = mayRetry();
-    failedRuns++;
-    endpoint.recordOutcome(true, context.node().now());
-    logLine("broken").field("endpoint", endpoint.id()).field("reason", reason).write();
-    if (mayRetry && context.retryBudgets().tryRetry(service)) {
-      context.metrics().recordRetry("broken");
+    boolean retry = mayRetry() && takeRetry("broken");
+    recordFailure(endpoint, reason);
+    if (retry) {
       forwarder.discardPartialEvent();
       dispatch();
     } else {
-      failAfterRun(reason);
+      fail(ErrorKind.ENDPOINT_FAILED, 0, reason);
+    }
+  }
+
+  private void recordFailure(Endpoint endpoint, String reason) {
+    attempt = Optional.empty();
+    history.failed();
+    endpoint.recordOutcome(true, context.node().now());
+    log.line("broken", endpoint).field("reason", reason).write();
+  }
+
+  /** Called when a kept connection was closed before the response; sends the request again. */
+  void onConnectionLost(Endpoint endpoint) {
+    if (takeRetry("connection_lost")) {
+      resend(endpoint);
+    } else {
+      recordFailure(endpoint, "kept connection lost");
+      fail(ErrorKind.ENDPOINT_FAILED, 0, "kept connection lost");
+    }
+  }
+
+  /** Sends the request again, possibly to the same endpoint, after a kept connection was lost. */
+  void resend(Endpoint endpoint) {
+    attempt = Optional.empty();
+    history.connectionLost(endpoint.id());
+    log.line("connection_lost", endpoint).write();
+    dispatch();
+  }
+
+  /** Takes a retry from the budget of the service, if one is left. */
+  boolean takeRetry(String reason) {
+    boolean allowed = context.retryBudgets().tryRetry(service);
+    if (allowed) {
+      context.metrics().recordRetry(reason);
     }
+    return allowed;
+  }
+
+  ExchangeLog log() {
+    return log;
   }
 
   /** Returns whether the request may be sent to another endpoint although it may have run. */
   private boolean mayRetry() {
-    boolean retryable = route().repeatable() || route().resumable();
-    return retryable && failedRuns + 1 < route().maxAttempts();
+    return (!forwarder.started() || route().resumable()) && history.mayRetry(route());
   }
 
-  /** Called when the endpoint exceeds its idle timeout; returns whether to end the attempt. */
-  boolean onIdleTimeout(Endpoint endpoint, long idleMs) {
-    logLine("silent").field("endpoint", endpoint.id()).field("silent_ms", idleMs).write();
-    endpoint.recordOutcome(true, context.node().now());
-    boolean others =
-        candidates(context.node().now()).stream()
-            .anyMatch(e -> !tried.contains(e.id()) && !e.avoided(context.node().now()));
-    return mayRetry() && others;
+  /**
+   * Returns whether a stalled attempt is to be replaced by one at another endpoint, and takes the
+   * retry from the budget. Without another endpoint or a retry left, the attempt goes on: it may be
+   * slow but sound.
+   */
+  boolean mayReplaceStalled() {
+    long now = context.node().now();
+    return mayRetry() && hasUntried(e -> !e.avoided(now)) && takeRetry("stalled");
+  }
+
+  private boolean hasUntried(Predicate<Endpoint> usable) {
+    return candidates(context.node().now()).stream()
+        .anyMatch(e -> !history.tried().contains(e.id()) && usable.test(e));
+  }
+
+  /** Sends the request to another endpoint after {@link #mayReplaceStalled}. */
+  void onStalled(Endpoint endpoint, String reason) {
+    recordFailure(endpoint, reason);
+    forwarder.discardPartialEvent();
+    dispatch();
   }
 
   /** Retries a request that the endpoint answered with a failure; returns false if not allowed. */
   boolean retryElsewhere(Endpoint endpoint) {
-    if (!route().repeatable() || failedRuns + 1 >= route().maxAttempts()) {
+    boolean allowed = route().repeatable() && history.mayRetry(route());
+    if (!allowed || !hasUntried(e -> true) || !takeRetry("failure_answered")) {
       return false;
     }
-    boolean more = candidates(context.node().now()).stream().anyMatch(e -> !tried.contains(e.id()));
-    if (!more || !context.retryBudgets().tryRetry(service)) {
-      return false;
-    }
-    context.metrics().recordRetry("failure_answered");
     attempt = Optional.empty();
-    failedRuns++;
-    logLine("failure_answered").field("endpoint", endpoint.id()).write();
+    history.failed();
+    log.line("failure_answered", endpoint).write();
     dispatch();
     return true;
   }
 
-  private void failAfterRun(String reason) {
-    if (forwarder.started()) {
-      abort(reason);
-    } else {
-      fail(ErrorKind.ENDPOINT_FAILED, 0, reason);
-    }
-  }
-
   void onServed(Endpoint endpoint, int status) {
     attempt = Optional.empty();
-    long now = context.node().now();
-    long first = forwarder.firstByteMs() - arrivedMs;
-    context.metrics().recordServed(route().name(), status, first, now - arrivedMs);
-    logLine("served")
-        .field("endpoint", endpoint.id())
-        .field("status", status)
-        .field("first_ms", first)
-        .field("total_ms", now - arrivedMs)
-        .write();
+    log.served(endpoint, status, forwarder.firstByteMs());
     finish();
   }
 
   private void onDeadline() {
-    if (finished) {
-      return;
-    }
-    if (forwarder.started()) {
-      abort("deadline exceeded");
-    } else if (failedRuns > 0 || attempt.map(EndpointAttempt::wasSent).orElse(false)) {
-      fail(ErrorKind.DEADLINE_EXCEEDED_RUNNING, 0, "");
-    } else {
+    if (!finished) {
       fail(ErrorKind.DEADLINE_TOO_SHORT, DEFAULT_RETRY_AFTER_MS, "deadline exceeded");
     }
   }
 
   private void abort(String reason) {
-    logLine("broken_off").field("reason", reason).write();
-    context.metrics().recordFailed(route().name(), ErrorKind.ANSWER_INCOMPLETE);
+    log.brokenOff(reason);
     cancelAttempt();
     finish();
     forwarder.abort();
   }
 
-  private void fail(ErrorKind kind, long retryAfterMs, String detail) {
-    logLine("refused")
-        .field("kind", kind.code())
-        .field("status", kind.status())
-        .field("retry_after_ms", retryAfterMs)
-        .field("detail", detail)
-        .field("configuration", context.node().configuration().map(c -> c.version()).orElse(0L))
-        .write();
-    context.metrics().recordFailed(route() == null ? "" : route().name(), kind);
+  /**
+   * Ends the request with an error. A response that has been started is broken off, and a request
+   * that may have run is never said not to have run.
+   */
+  private void fail(ErrorKind reason, long retryAfterMs, String detail) {
+    if (forwarder.started()) {
+      abort(reason.code() + " " + detail);
+      return;
+    }
+    ErrorKind kind = history.honest(reason);
+    log.refused(kind, retryAfterMs, detail);
     cancelAttempt();
     if (kind.executionStatus() == ExecutionStatus.NOT_RUN) {
       admission.refund();
@@ -313,14 +325,14 @@
 
   /** Rejects the request if it is waiting for its model, because the program stops. */
   void rejectIfWaiting() {
-    if (modelWait.isPresent() && !finished && failedRuns == 0) {
+    if (modelWait.isPresent() && !finished) {
       fail(ErrorKind.SHUTTING_DOWN, DEFAULT_RETRY_AFTER_MS, "");
     }
   }
 
   void onCallerDisconnected() {
     if (!finished) {
-      logLine("caller_left").field("after_ms", context.node().now() - arrivedMs).write();
+      log.line("caller_left").field("after_ms", context.node().now() - arrivedMs).write();
       cancelAttempt();
       finish();
     }
@@ -344,16 +356,6 @@
     request.release();
   }
 
-  private EventLog.Line logLine(String event) {
-    return context
-        .node()
-        .log()
-        .line(event)
-        .field("id", head == null ? "" : head.id())
-        .field("route", route() == null ? "" : route().name())
-        .field("age_ms", context.node().now() - arrivedMs);
-  }
-
   RouteSpec route() {
     return admission.route();
   }
@@ -366,6 +368,10 @@
     return head.model();
   }
 
+  long tokens() {
+    return head.tokens();
+  }
+
   String adapter() {
     return head.adapter();
   }
@@ -380,17 +386,13 @@
   @Override
   public void onModelAvailable() {
     modelWait = Optional.empty();
-    tried.clear();
+    history.clearTried();
     dispatch();
   }
 
   @Override
   public void onModelUnavailable(long retryAfterMs) {
     modelWait = Optional.empty();
-    if (failedRuns > 0) {
-      failAfterRun("model not loaded in time");
-    } else {
-      fail(ErrorKind.LOAD_REFUSED, retryAfterMs, "model " + head.model());
-    }
+    fail(ErrorKind.LOAD_REFUSED, retryAfterMs, "model " + head.model());
   }
 }
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/ExchangeLog.java
@@ -0,0 +1,97 @@
+package io.kumquatspindle.node.front;
+
+import io.kumquatspindle.api.error.ErrorKind;
+import io.kumquatspindle.api.fleet.FleetConfiguration;
+import io.kumquatspindle.engine.fleet.Endpoint;
+import io.kumquatspindle.node.NodeContext;
+import io.kumquatspindle.node.observe.EventLog;
+
+/** Records the events of one request: log lines, metrics and outcomes of its endpoints. */
+final class ExchangeLog {
+  private final FrontContext context;
+  private final Admission admission;
+  private final long arrivedMs;
+  private String id = "";
+
+  ExchangeLog(FrontContext context, Admission admission, long arrivedMs) {
+    this.context = context;
+    this.admission = admission;
+    this.arrivedMs = arrivedMs;
+  }
+
+  /** Sets the id of the request, once it has been decoded. */
+  void setId(String requestId) {
+    id = requestId;
+  }
+
+  private NodeContext node() {
+    return context.node();
+  }
+
+  private String routeName() {
+    return admission.route() == null ? "" : admission.route().name();
+  }
+
+  EventLog.Line line(String event) {
+    return node()
+        .log()
+        .line(event)
+        .field("id", id)
+        .field("route", routeName())
+        .field("age_ms", node().now() - arrivedMs);
+  }
+
+  /** Returns a line about an endpoint. */
+  EventLog.Line line(String event, Endpoint endpoint) {
+    return line(event).field("endpoint", endpoint.id());
+  }
+
+  void sent(Endpoint endpoint, int attempt) {
+    line("sent", endpoint)
+        .field("address", endpoint.entry().address())
+        .field("attempt", attempt)
+        .field("use_pct", (long) (100 * endpoint.utilization(node().now())))
+        .field("customer", admission.customerName().orElse(""))
+        .field("charged", (long) admission.chargedCost())
+        .field("level", admission.remainingQuota())
+        .write();
+  }
+
+  /** Records that an endpoint makes no progress. */
+  void stalled(Endpoint endpoint, long stalledMs) {
+    endpoint.recordOutcome(true, node().now());
+    line("silent", endpoint).field("silent_ms", stalledMs).write();
+  }
+
+  void served(Endpoint endpoint, int status, long firstByteMs) {
+    long first = firstByteMs - arrivedMs;
+    long total = node().now() - arrivedMs;
+    context.metrics().recordServed(routeName(), status, first, total);
+    line("served", endpoint)
+        .field("status", status)
+        .field("first_ms", first)
+        .field("total_ms", total)
+        .write();
+  }
+
+  void refused(ErrorKind kind, long retryAfterMs, String detail) {
+    context.metrics().recordFailed(routeName(), kind);
+    line("refused")
+        .field("kind", kind.code())
+        .field("status", kind.status())
+        .field("retry_after_ms", retryAfterMs)
+        .field("detail", detail)
+        .field("configuration", node().configuration().map(FleetConfiguration::version).orElse(0L))
+        .write();
+  }
+
+  void brokenOff(String reason) {
+    context.metrics().recordFailed(routeName(), ErrorKind.ANSWER_INCOMPLETE);
+    line("broken_off").field("reason", reason).write();
+  }
+
+  void foreignResponse(Endpoint endpoint, String otherId) {
+    context.metrics().recordForeignResponse();
+    line("foreign_response", endpoint).field("other", otherId).write();
+  }
+}
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontContext.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontContext.java
@@ -5,6 +5,7 @@
 import io.kumquatspindle.node.order.PendingRequests;
 import io.kumquatspindle.node.peer.QuotaEnforcer;
 import io.kumquatspindle.node.port.HeaderCodec;
+import io.kumquatspindle.node.relay.EndpointConnections;
 import java.util.Random;
 
 /**
@@ -16,6 +17,8 @@
  * @param pendingRequests requests that wait for a model
  * @param quotas rate limits of the customers
  * @param retryBudgets retry budgets by service
+ * @param connections connections to endpoints
+ * @param responseTimes response times of the routes
  * @param metrics metrics of requests
  * @param random chooses among the weighted services of a route
  */
@@ -26,5 +29,7 @@
     PendingRequests pendingRequests,
     QuotaEnforcer quotas,
     RetryBudgets retryBudgets,
+    EndpointConnections connections,
+    ResponseTimes responseTimes,
     FrontMetrics metrics,
     Random random) {}
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontMetrics.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontMetrics.java
@@ -32,4 +32,8 @@
   void recordRetry(String reason) {
     registry.counter(MetricsText.name("second_sends_total", "why", reason)).inc();
   }
+
+  void recordForeignResponse() {
+    registry.counter("foreign_responses_total").inc();
+  }
 }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServer.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServer.java
@@ -24,10 +24,20 @@
   /** Idle time before a connection is closed at shutdown, in ms; a request may be in transit. */
   private static final long MIN_IDLE_BEFORE_CLOSE_MS = 300;
 
+  /** Time for which a connection without any request is kept at shutdown, in ms. */
+  private static final long MIN_UNUSED_BEFORE_CLOSE_MS = 1_000;
+
+  /**
+   * Time without a new connection after which the port is closed at shutdown, in ms. Connections
+   * that the kernel has accepted meanwhile would be reset.
+   */
+  private static final long QUIET_BEFORE_CLOSE_MS = 300;
+
   private final NodeContext node;
   private final ExchangeFactory exchanges;
   private final Set<Channel> connections = new HashSet<>();
   private Channel listener;
+  private long lastAcceptedMs;
 
   FrontServer(NodeContext node, ExchangeFactory exchanges) {
     this.node = node;
@@ -58,11 +68,22 @@
     listener.close();
   }
 
+  /**
+   * Returns whether nothing would be cut off if the port were closed now.
+   *
+   * @return whether no connection is open, and none has been accepted for a time
+   */
+  public boolean drained() {
+    return connections.isEmpty() && node.now() - lastAcceptedMs >= QUIET_BEFORE_CLOSE_MS;
+  }
+
   /** Closes idle connections, on which no request is being handled. */
   public void closeIdleConnections() {
     for (Channel c : Set.copyOf(connections)) {
       CallerConnectionHandler handler = c.pipeline().get(CallerConnectionHandler.class);
-      if (handler != null && handler.idleFor(MIN_IDLE_BEFORE_CLOSE_MS)) {
+      if (handler != null
+          && handler.idleFor(
+              handler.unused() ? MIN_UNUSED_BEFORE_CLOSE_MS : MIN_IDLE_BEFORE_CLOSE_MS)) {
         c.close();
       }
     }
@@ -89,6 +110,7 @@
       CallerLimits limits =
           node.configuration().map(FleetConfiguration::limits).orElse(CallerLimits.DEFAULTS);
       connections.add(ch);
+      lastAcceptedMs = node.now();
       ch.closeFuture().addListener(f -> connections.remove(ch));
       ch.pipeline()
           .addLast(
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServerFactory.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServerFactory.java
@@ -6,6 +6,7 @@
 import io.kumquatspindle.node.peer.Peers;
 import io.kumquatspindle.node.peer.QuotaEnforcer;
 import io.kumquatspindle.node.port.HeaderCodec;
+import io.kumquatspindle.node.relay.EndpointConnections;
 import java.util.Random;
 
 /** Creates the {@link FrontServer} and the objects that it uses. */
@@ -37,6 +38,8 @@
             pendingRequests,
             quotas,
             new RetryBudgets(node, peers::vmCount),
+            new EndpointConnections(node.loop(), node.clock()),
+            new ResponseTimes(),
             new FrontMetrics(node.metrics()),
             new Random());
     return new FrontServer(node, (request, writer) -> new Exchange(context, request, writer));
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/ResponseForwarder.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/ResponseForwarder.java
@@ -23,6 +23,7 @@
   private final FrontContext context;
   private final CallerResponseWriter caller;
   private Optional<EventSplitter> splitter = Optional.empty();
+  private boolean resumable;
   private boolean started;
   private long firstByteMs;
 
@@ -45,7 +46,17 @@
 
   /** Returns the id of the last forwarded event, if the stream is resumable and had one. */
   Optional<String> lastEventId() {
-    return splitter.flatMap(EventSplitter::lastId);
+    return resumable ? splitter.flatMap(EventSplitter::lastId) : Optional.empty();
+  }
+
+  /** Returns the number of events that have been forwarded. */
+  long eventCount() {
+    return splitter.map(EventSplitter::eventCount).orElse(0L);
+  }
+
+  /** Returns whether the stream would end within an event if it ended now. */
+  boolean inPartialEvent() {
+    return splitter.filter(EventSplitter::inPartialEvent).isPresent();
   }
 
   void discardPartialEvent() {
@@ -58,19 +69,32 @@
     caller.writeFull(head.status(), context.headerCodec().responseHeaders(head.headers()), body);
   }
 
-  void startStream(HttpResponse head, boolean resumable) {
+  /** Starts to forward a stream of events, unless it continues one that has been started. */
+  void startEvents(HttpResponse head, boolean streamResumable) {
     if (started) {
       return;
     }
-    started = true;
-    splitter = resumable ? Optional.of(new EventSplitter()) : Optional.empty();
+    splitter = Optional.of(new EventSplitter());
+    resumable = streamResumable;
     HttpHeaders headers = context.headerCodec().responseHeaders(head.headers());
     if (resumable) {
       headers.remove(HttpHeaderNames.CONTENT_LENGTH);
     }
+    started = true;
     caller.writeHead(head.status(), headers);
   }
 
+  /** Starts to forward a body that is too large to be buffered. */
+  void startBody(HttpResponse head) {
+    started = true;
+    caller.writeHead(head.status(), context.headerCodec().responseHeaders(head.headers()));
+  }
+
+  /**
+   * Forwards a part of the body.
+   *
+   * @throws IllegalStateException if an event is too large
+   */
   void sendData(ByteBuf data) {
     if (firstByteMs == 0) {
       firstByteMs = context.node().now();
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/EndpointContext.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/EndpointContext.java
@@ -67,6 +67,11 @@
         || loads.storeLoadCount(node.now()) < factor * node.settings().storeLoadsAtOnce();
   }
 
+  @Override
+  public double requestRate(String model) {
+    return node.demand().rate(model, node.now());
+  }
+
   @Override
   public double loadValue(String model) {
     return replicaPolicy.loadValue(endpoint.entry().service(), model, node.now());
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -357,16 +357,11 @@
   }
 
   private void publishChange(Endpoint e, HoldingChange c) {
-    NodeMessage.Changed.Kind kind = NodeMessage.Changed.Kind.valueOf(c.kind().name());
-    boolean viaStore = false;
-    long forMs = 0;
-    if (kind == NodeMessage.Changed.Kind.LOADING) {
-      ModelInfo m = engine(e.entry().service()).map(x -> x.models().get(c.model())).orElse(null);
-      forMs = m == null ? 0 : PlacementChooser.loadMs(e.entry(), m);
-      viaStore = m != null && forMs == m.storeLoadMs() && !ordersOf(e).heldBefore(c.model());
-    }
-    apply(e, c.model(), c.adapter(), kind, viaStore, forMs, node.now());
-    peers.broadcast(new NodeMessage.Changed(e.id(), c.model(), c.adapter(), kind, viaStore, forMs));
+    Optional<ModelInfo> model =
+        engine(e.entry().service()).flatMap(x -> Optional.ofNullable(x.models().get(c.model())));
+    NodeMessage.Changed m = ChangeMessages.of(e, c, model, ordersOf(e).heldBefore(c.model()));
+    apply(e, m.model(), m.adapter(), m.kind(), m.fromStore(), m.forMs(), node.now());
+    peers.broadcast(m);
   }
 
   private void apply(
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EndpointConnection.java
@@ -0,0 +1,240 @@
+package io.kumquatspindle.node.relay;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.OptionalLong;
+import java.util.concurrent.Future;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * One connection to an endpoint, which carries one request at a time. It is kept for another
+ * request only if the response was complete and framed, and nothing followed it. Used on the event
+ * loop only.
+ */
+final class EndpointConnection {
+  private static final int MAX_INITIAL_LINE_BYTES = 8_192;
+  private static final int MAX_HEADER_BYTES = 65_536;
+  private static final int MAX_CHUNK_BYTES = 16_384;
+  private static final long MS_PER_S = 1_000;
+  private static final Pattern KEEP_ALIVE_TIMEOUT =
+      Pattern.compile("(?i)(?:^|[ ,])timeout=([0-9]{1,6})(?:$|[ ,])");
+
+  private final EndpointConnections connections;
+  private final String address;
+  private Channel channel;
+  private UpstreamRequest current;
+  private boolean reused;
+  private boolean requestWritten;
+  private boolean keepable;
+  private OptionalLong endpointTimeoutMs = OptionalLong.empty();
+  private boolean idle;
+  private long idleUntilMs;
+  private Future<?> idleTimer;
+
+  EndpointConnection(EndpointConnections connections, String address) {
+    this.connections = connections;
+    this.address = address;
+  }
+
+  void setChannel(Channel ch) {
+    channel = ch;
+  }
+
+  Channel channel() {
+    return channel;
+  }
+
+  String address() {
+    return address;
+  }
+
+  /** Returns whether the connection has carried another request before. */
+  boolean reused() {
+    return reused;
+  }
+
+  long idleUntilMs() {
+    return idleUntilMs;
+  }
+
+  void install(Channel ch) {
+    ch.pipeline()
+        .addLast(new IdleBytesHandler())
+        .addLast(
+            new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, true))
+        .addLast(new ResponseHandler());
+  }
+
+  void send(UpstreamRequest upstream, FullHttpRequest request) {
+    current = upstream;
+    requestWritten = false;
+    keepable = false;
+    channel.writeAndFlush(request).addListener(f -> requestWritten = f.isSuccess());
+  }
+
+  void becomeIdle(long untilMs, Future<?> timer) {
+    idle = true;
+    reused = true;
+    idleUntilMs = untilMs;
+    idleTimer = timer;
+  }
+
+  void leaveIdle() {
+    idle = false;
+    idleTimer.cancel(false);
+  }
+
+  /** Closes the connection; its request gets no further events. */
+  void close() {
+    current = null;
+    keepable = false;
+    channel.close();
+  }
+
+  /** Closes an idle connection on which bytes arrive: they belong to no request. */
+  private final class IdleBytesHandler extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      if (current == null) {
+        ReferenceCountUtil.release(message);
+        keepable = false;
+        ctx.close();
+      } else {
+        ctx.fireChannelRead(message);
+      }
+    }
+  }
+
+  private final class ResponseHandler extends ChannelInboundHandlerAdapter {
+    private boolean interim;
+    private boolean skipping;
+    private boolean headReceived;
+    private boolean skippedAny;
+    private HttpResponse head;
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      try {
+        if (current == null) {
+          // More bytes follow the response in the same segment.
+          keepable = false;
+          ctx.close();
+        } else {
+          handle((HttpObject) message);
+        }
+      } finally {
+        ReferenceCountUtil.release(message);
+      }
+    }
+
+    private void handle(HttpObject object) {
+      if (object.decoderResult().isFailure()) {
+        fail("malformed HTTP response");
+        return;
+      }
+      if (object instanceof HttpResponse response) {
+        onHead(response);
+      }
+      if (object instanceof HttpContent content && !interim && current != null) {
+        onContent(content);
+      }
+    }
+
+    private void onHead(HttpResponse response) {
+      interim =
+          response.status().codeClass().equals(HttpStatusClass.INFORMATIONAL)
+              && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+      if (interim) {
+        return;
+      }
+      head = response;
+      skipping = !current.onHead(response, reused);
+      skippedAny |= skipping;
+      headReceived |= !skipping;
+    }
+
+    private void onContent(HttpContent content) {
+      if (content.content().isReadable() && !skipping) {
+        current.onData(content.content());
+      }
+      if (content instanceof LastHttpContent && !skipping && current != null) {
+        onComplete();
+      }
+    }
+
+    private void onComplete() {
+      UpstreamRequest completed = current;
+      boolean framed =
+          HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+      keepable = framed && !skippedAny && requestWritten && HttpUtil.isKeepAlive(head);
+      endpointTimeoutMs = keepAliveTimeoutMs(head.headers().get(HttpHeaderNames.KEEP_ALIVE));
+      current = null;
+      headReceived = false;
+      completed.onComplete();
+    }
+
+    /** Keeps or closes the connection, after all bytes that were received have been handled. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+      if (current == null && keepable) {
+        keepable = false;
+        connections.keep(EndpointConnection.this, endpointTimeoutMs);
+      } else if (current == null && !idle) {
+        ctx.close();
+      }
+      ctx.fireChannelReadComplete();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      if (current == null) {
+        if (idle) {
+          leaveIdle();
+          connections.closedWhileIdle(EndpointConnection.this);
+        }
+      } else if (reused && !headReceived) {
+        UpstreamRequest lost = current;
+        current = null;
+        lost.onConnectionLost();
+      } else {
+        fail("connection closed");
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      if (current != null && reused && !headReceived) {
+        // channelInactive follows, which reports the loss.
+        ctx.close();
+      } else {
+        fail(String.valueOf(cause.getMessage()));
+      }
+    }
+
+    private void fail(String reason) {
+      UpstreamRequest failed = current;
+      close();
+      if (failed != null) {
+        failed.onFailed(reason);
+      }
+    }
+  }
+
+  private static OptionalLong keepAliveTimeoutMs(String header) {
+    Matcher m = KEEP_ALIVE_TIMEOUT.matcher(header == null ? "" : header);
+    return m.find() ? OptionalLong.of(Long.parseLong(m.group(1)) * MS_PER_S) : OptionalLong.empty();
+  }
+}
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EventSplitter.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EventSplitter.java
@@ -6,28 +6,37 @@
 import java.util.Optional;
 
 /**
- * Splits a stream of server-sent events at event boundaries and keeps the id of the last complete
- * event, so that a stream that fails within an event can be resumed after the last complete one.
+ * Splits a stream of server-sent events at event boundaries. Keeps the id of the last complete
+ * event, so that a stream that fails within an event can be resumed after the last complete one,
+ * and counts the events, so that bytes that make up no event are not taken for progress.
  */
 public final class EventSplitter {
+  /** Largest event, in bytes. An endpoint that sends more without a boundary sends no events. */
+  private static final int MAX_EVENT_BYTES = 256 * 1024;
+
   private final ByteBuf buffer = Unpooled.buffer();
   private Optional<String> lastId = Optional.empty();
+  private long eventCount;
 
   /**
    * Appends bytes of the stream.
    *
    * @param data the bytes
    * @return the events that are now complete, possibly none; released by the caller
+   * @throws IllegalStateException if an event is too large
    */
   public ByteBuf append(ByteBuf data) {
     buffer.writeBytes(data);
     int end = completeLength();
+    if (buffer.readableBytes() - end > MAX_EVENT_BYTES) {
+      throw new IllegalStateException("event of more than " + MAX_EVENT_BYTES + " bytes");
+    }
     if (end == 0) {
       return Unpooled.EMPTY_BUFFER;
     }
     ByteBuf events = buffer.readBytes(end);
     buffer.discardReadBytes();
-    updateLastId(events);
+    readEvents(events.toString(StandardCharsets.UTF_8));
     return events;
   }
 
@@ -36,6 +45,15 @@
     buffer.clear();
   }
 
+  /**
+   * Returns whether bytes of an incomplete event have been received.
+   *
+   * @return whether the stream would end within an event
+   */
+  public boolean inPartialEvent() {
+    return buffer.isReadable();
+  }
+
   /**
    * Returns the bytes after the last complete event. To be called when the stream has ended.
    *
@@ -54,6 +72,15 @@
     return lastId;
   }
 
+  /**
+   * Returns the number of complete events with data.
+   *
+   * @return number of events
+   */
+  public long eventCount() {
+    return eventCount;
+  }
+
   private int completeLength() {
     for (int i = buffer.writerIndex() - 1; i > buffer.readerIndex(); i--) {
       if (buffer.getByte(i) != '\n') {
@@ -67,13 +94,17 @@
     return 0;
   }
 
-  private void updateLastId(ByteBuf events) {
-    String text = events.toString(StandardCharsets.UTF_8);
-    int at = Math.max(text.lastIndexOf("\nid:"), text.startsWith("id:") ? 0 : -1);
-    if (at >= 0) {
-      int from = text.indexOf(':', at) + 1;
-      int to = text.indexOf('\n', from);
-      lastId = Optional.of(text.substring(from, to < 0 ? text.length() : to).strip());
+  private void readEvents(String text) {
+    boolean hasData = false;
+    for (String line : (Iterable<String>) text.lines()::iterator) {
+      if (line.startsWith("id:")) {
+        lastId = Optional.of(line.substring(3).strip());
+      }
+      hasData |= line.startsWith("data");
+      if (line.isEmpty() && hasData) {
+        eventCount++;
+        hasData = false;
+      }
     }
   }
 }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/UpstreamRequest.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/UpstreamRequest.java
@@ -1,36 +1,16 @@
 package io.kumquatspindle.node.relay;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
+import java.util.Optional;
 
 /**
- * One request to one endpoint on a dedicated connection. This way a failed connect proves that the
- * request has not run, and no byte of another response can be taken for its own. Used on the event
- * loop only.
+ * One request to one endpoint. On a new connection, a failed connect proves that the request has
+ * not run, and no byte of another response can be taken for its own. On a kept connection neither
+ * holds, so that only requests that may be repeated use one. Used on the event loop only.
  */
 public final class UpstreamRequest {
-  /** Connect timeout, in ms: about ten times a round trip between failure domains. */
-  private static final int CONNECT_TIMEOUT_MS = 250;
-
-  private static final int MAX_INITIAL_LINE_BYTES = 8_192;
-  private static final int MAX_HEADER_BYTES = 65_536;
-  private static final int MAX_CHUNK_BYTES = 16_384;
 
   /** Receives the events of the request. All calls are made on the event loop. */
   public interface Listener {
@@ -41,11 +21,13 @@
     void onSent();
 
     /**
-     * The head of the response has arrived.
+     * The head of a response has arrived.
      *
      * @param head the head
+     * @param keptConnection whether the connection has carried other requests before
+     * @return false if the response belongs to another request and is to be skipped
      */
-    void onHead(HttpResponse head);
+    boolean onHead(HttpResponse head, boolean keptConnection);
 
     /**
      * A part of the response body has arrived.
@@ -57,6 +39,12 @@
     /** The response is complete. */
     void onComplete();
 
+    /**
+     * The kept connection was closed before a response arrived. Probably the endpoint had closed it
+     * when the request was sent, but the request may have run.
+     */
+    void onConnectionLost();
+
     /**
      * The connection or the decoding failed before the response was complete.
      *
@@ -66,7 +54,7 @@
   }
 
   private final Listener listener;
-  private Channel channel;
+  private EndpointConnection connection;
   private boolean finished;
 
   private UpstreamRequest(Listener listener) {
@@ -76,63 +64,58 @@
   /**
    * Sends a request.
    *
-   * @param loop event loop
+   * @param connections connections to endpoints
    * @param host IP address of the endpoint
    * @param port port of the endpoint
    * @param request the request; released by the call
+   * @param mayReuse whether a kept connection may be used: only if the request may be repeated
    * @param listener receives the events
    * @return the request, to cancel it or to pause reading
    */
   public static UpstreamRequest send(
-      EventLoop loop, String host, int port, FullHttpRequest request, Listener listener) {
+      EndpointConnections connections,
+      String host,
+      int port,
+      FullHttpRequest request,
+      boolean mayReuse,
+      Listener listener) {
     UpstreamRequest upstream = new UpstreamRequest(listener);
-    ChannelFuture connecting =
-        new Bootstrap()
-            .group(loop)
-            .channel(NioSocketChannel.class)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .handler(upstream.pipelineInitializer())
-            .connect(host, port);
-    upstream.channel = connecting.channel();
-    connecting.addListener(f -> upstream.onConnectCompleted(f.isSuccess(), request));
+    String address = host + ":" + port;
+    Optional<EndpointConnection> kept = mayReuse ? connections.takeIdle(address) : Optional.empty();
+    if (kept.isPresent()) {
+      upstream.connection = kept.get();
+      upstream.start(request);
+    } else {
+      upstream.connection =
+          connections.open(
+              address, host, port, c -> upstream.onConnectCompleted(c.isPresent(), request));
+    }
     return upstream;
   }
 
-  private ChannelInitializer<Channel> pipelineInitializer() {
-    return new ChannelInitializer<>() {
-      @Override
-      protected void initChannel(Channel ch) {
-        ch.pipeline()
-            .addLast(
-                new HttpClientCodec(
-                    MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, true))
-            .addLast(new ResponseHandler());
-      }
-    };
-  }
-
   private void onConnectCompleted(boolean success, FullHttpRequest request) {
     if (finished) {
       request.release();
-      channel.close();
-      return;
-    }
-    if (!success) {
+      connection.close();
+    } else if (success) {
+      start(request);
+    } else {
       request.release();
       finished = true;
       listener.onNotSent();
-      return;
     }
+  }
+
+  private void start(FullHttpRequest request) {
     listener.onSent();
-    channel.writeAndFlush(request);
+    connection.send(this, request);
   }
 
   /** Cancels the request; the listener is not called any more. */
   public void cancel() {
     if (!finished) {
       finished = true;
-      channel.close();
+      connection.close();
     }
   }
 
@@ -142,67 +125,47 @@
    * @param enabled whether to read
    */
   public void setReading(boolean enabled) {
-    channel.config().setAutoRead(enabled);
+    if (!finished) {
+      connection.channel().config().setAutoRead(enabled);
+    }
   }
 
-  private final class ResponseHandler extends ChannelInboundHandlerAdapter {
-    private boolean discarding;
-
-    @Override
-    public void channelRead(ChannelHandlerContext ctx, Object message) {
-      try {
-        if (!finished) {
-          handle((HttpObject) message);
-        }
-      } finally {
-        ReferenceCountUtil.release(message);
-      }
-    }
+  /**
+   * Returns whether the request was sent on a connection that has carried others before.
+   *
+   * @return whether the connection was kept
+   */
+  public boolean onKeptConnection() {
+    return connection.reused();
+  }
 
-    private void handle(HttpObject object) {
-      if (object.decoderResult().isFailure()) {
-        fail("malformed HTTP response");
-        return;
-      }
-      if (object instanceof HttpResponse response) {
-        discarding =
-            response
-                    .status()
-                    .codeClass()
-                    .equals(io.netty.handler.codec.http.HttpStatusClass.INFORMATIONAL)
-                && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
-        if (!discarding) {
-          listener.onHead(response);
-        }
-      }
-      if (object instanceof HttpContent content && !discarding && !finished) {
-        if (content.content().isReadable()) {
-          listener.onData(content.content());
-        }
-        if (object instanceof LastHttpContent && !finished) {
-          finished = true;
-          channel.close();
-          listener.onComplete();
-        }
-      }
-    }
+  boolean onHead(HttpResponse head, boolean keptConnection) {
+    return listener.onHead(head, keptConnection);
+  }
 
-    @Override
-    public void channelInactive(ChannelHandlerContext ctx) {
-      fail("connection closed");
+  void onData(ByteBuf data) {
+    listener.onData(data);
+  }
+
+  void onComplete() {
+    if (!finished) {
+      finished = true;
+      connection.channel().config().setAutoRead(true);
+      listener.onComplete();
     }
+  }
 
-    @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      fail(String.valueOf(cause.getMessage()));
+  void onConnectionLost() {
+    if (!finished) {
+      finished = true;
+      listener.onConnectionLost();
     }
+  }
 
-    private void fail(String reason) {
-      if (!finished) {
-        finished = true;
-        channel.close();
-        listener.onFailed(reason);
-      }
+  void onFailed(String reason) {
+    if (!finished) {
+      finished = true;
+      listener.onFailed(reason);
     }
   }
 }
