Count the order of a load once, and load what many callers miss

An engine answers the order of a load in progress with 202 again and does not count it, but the scheduler counted each and took it for a new load. Then four conflicts and a report followed. Repeated orders are recognised, confirmations back off, and the other VMs are told that the load comes from the weight store.

Loads whose goal cannot be met were ordered by age, so that a model with 2 requests a second waited behind one that takes 6 s. They are ordered by response ratio, weighted by demand.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/HoldingChange.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/HoldingChange.java
@@ -12,6 +12,8 @@
   public enum Kind {
     /** Loading has started. */
     LOADING,
+    /** Loading continues, and takes as long as from the weight store. */
+    LOADING_FROM_STORE,
     /** The model or adapter is loaded and ready for requests. */
     LOADED,
     /** The model or adapter was evicted. */
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderContext.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderContext.java
@@ -35,6 +35,14 @@
    */
   boolean mayLoad(String model);
 
+  /**
+   * Returns the rate at which a model is requested.
+   *
+   * @param model name of the model
+   * @return requests per second, at all VMs
+   */
+  double requestRate(String model);
+
   /**
    * Returns the value to callers of loading a replica of a model.
    *
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderScheduler.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderScheduler.java
@@ -15,8 +15,9 @@
  * at a time, each with the number of orders that the endpoint must have accepted before, so that a
  * late execution has no effect. For bursts of requests for rarely used models, a model in high
  * demand that no endpoint can serve is loaded first, then the requested loads whose goal can still
- * be met, by earliest goal, and then the others by age. Memory is freed by evicting the least
- * valuable models, and is checked before each load. Not thread-safe: confined to one owner thread.
+ * be met, by earliest goal, and then the others by response ratio. Memory is freed by evicting the
+ * least valuable models, and is checked before each load. Not thread-safe: confined to one owner
+ * thread.
  */
 public final class OrderScheduler {
   /** Maximum age of the reported state; after an order, it is read only after this delay. */
@@ -28,8 +29,17 @@
   /** Consecutive conflicts after which the number of accepted orders is read again. */
   private static final int CONFLICTS_BEFORE_REPORT = 4;
 
-  /** Duration of the eviction of an idle model, in ms. */
-  private static final long EVICTION_MS = 20;
+  /**
+   * Duration of the eviction of an idle model, in ms: by the "order" log lines, engines reject
+   * orders for up to 55 ms after they accepted an eviction.
+   */
+  static final long EVICTION_MS = 60;
+
+  /** Delay before a load that takes longer than estimated is confirmed again; then doubled. */
+  private static final long MIN_CONFIRMATION_PAUSE_MS = 60;
+
+  /** Maximum delay between two attempts to confirm a load, in ms. */
+  private static final long MAX_CONFIRMATION_PAUSE_MS = 500;
 
   /** Failed attempts to confirm a load after which the state of the endpoint is read. */
   private static final int CONFIRMATIONS_BEFORE_REPORT = 3;
@@ -45,6 +55,7 @@
   private long lastOrderMs = Long.MIN_VALUE / 2;
   private long notBeforeMs;
   private long confirmLoadAtMs;
+  private long confirmationPauseMs;
   private int consecutiveConflicts;
 
   /** The next action to take. */
@@ -249,6 +260,9 @@
     switch (response) {
       case ACCEPTED -> {
         consecutiveConflicts = 0;
+        if (confirmsLoad(order)) {
+          return onStillLoading(order, context, now);
+        }
         orderCount++;
         return onAccepted(order, context, now);
       }
@@ -272,7 +286,7 @@
 
   private void onConflict(ModelOrder order, long now) {
     consecutiveConflicts++;
-    if (order.load() && loading.equals(Optional.of(order.model()))) {
+    if (confirmsLoad(order)) {
       confirmLoadAtMs = now + CONFLICT_PAUSE_MS;
       return;
     }
@@ -282,6 +296,30 @@
     }
   }
 
+  private boolean confirmsLoad(ModelOrder order) {
+    return order.load() && order.adapter().isEmpty() && loading.equals(Optional.of(order.model()));
+  }
+
+  /**
+   * Handles that a load is still in progress: the engine accepts its order again and does not count
+   * it. If the load takes much longer than that of a copy, there was none, and it is read from the
+   * weight store.
+   */
+  private List<HoldingChange> onStillLoading(ModelOrder order, OrderContext context, long now) {
+    boolean secondAttempt = confirmationPauseMs == 2 * MIN_CONFIRMATION_PAUSE_MS;
+    confirmLoadAtMs = now + confirmationPauseMs;
+    confirmationPauseMs = Math.min(MAX_CONFIRMATION_PAUSE_MS, 2 * confirmationPauseMs);
+    boolean fromCopy = context.loadMs(order.model()) < storeLoadMs(order.model(), context);
+    return secondAttempt && fromCopy
+        ? List.of(new HoldingChange(order.model(), "", HoldingChange.Kind.LOADING_FROM_STORE))
+        : List.of();
+  }
+
+  private static long storeLoadMs(String model, OrderContext context) {
+    ModelInfo info = context.engine().models().get(model);
+    return info == null ? 0 : info.storeLoadMs();
+  }
+
   private List<HoldingChange> onAccepted(ModelOrder order, OrderContext context, long now) {
     if (order.adapter().isPresent()) {
       return adapterChanged(order, now);
@@ -289,6 +327,7 @@
     if (order.load()) {
       loading = Optional.of(order.model());
       confirmLoadAtMs = now + context.loadMs(order.model());
+      confirmationPauseMs = MIN_CONFIRMATION_PAUSE_MS;
       return List.of(new HoldingChange(order.model(), "", HoldingChange.Kind.LOADING));
     }
     modelEvicted(order.model());
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/RequestedLoads.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/RequestedLoads.java
@@ -33,6 +33,13 @@
       return new Request(model, adapter, firstRequestedMs, now, goal);
     }
 
+    /** Returns the ratio of waiting time and load time to the load time, weighted by demand. */
+    private double responseRatio(OrderContext context, long now) {
+      boolean known = context.engine().models().containsKey(model);
+      double loadMs = known ? Math.max(1, context.loadMs(model)) : 1;
+      return (1 + context.requestRate(model)) * (1 + (now - firstRequestedMs) / loadMs);
+    }
+
     private boolean canMeetGoal(OrderContext context, long now) {
       return context.engine().models().containsKey(model) && now + context.loadMs(model) <= goalMs;
     }
@@ -67,14 +74,16 @@
 
   /**
    * Returns all requested loads: first those for models that are already held, then urgent models,
-   * then those whose goal can still be met, by earliest goal, and then the others by age.
+   * then those whose goal can still be met, by earliest goal, and then the others by response
+   * ratio, weighted by demand: a load of a second that many callers wait for goes before one of
+   * several seconds that a single caller wants, unless that one has waited for long.
    */
   List<Request> byUrgency(Predicate<String> held, OrderContext context, long now) {
     List<Request> ordered = new ArrayList<>(byKey.values());
     ordered.sort(
         Comparator.<Request>comparingInt(r -> priority(r, held, context, now))
-            .thenComparingLong(
-                r -> r.canMeetGoal(context, now) ? r.goalMs() : r.firstRequestedMs()));
+            .thenComparingDouble(
+                r -> r.canMeetGoal(context, now) ? r.goalMs() : -r.responseRatio(context, now)));
     return ordered;
   }
 
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/LoadSimulation.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/LoadSimulation.java
@@ -33,6 +33,7 @@
   private static final long STORE_MS = 6_000;
   private static final long DISK_MS = 1_000;
   private static final long RUN_MS = 400;
+  private static final long EVICTION_MS = 55;
   private static final double HOT_PER_S = 35;
   private static final double WARM_SHARE = 0.3;
   private static final long HOT_GOAL_MS = 300;
@@ -80,6 +81,7 @@
     private final Map<String, Long> busyUntilMs = new HashMap<>();
     private String loading = "";
     private long loadedMs;
+    private long evictedMs;
     private long orders;
   }
 
@@ -235,6 +237,8 @@
         long ms = context.loadMs(c.model());
         loads.started(e.id(), new ActiveLoads.Load(c.model(), ms == STORE_MS, now + ms));
       }
+      case LOADING_FROM_STORE ->
+          loads.started(e.id(), new ActiveLoads.Load(c.model(), true, now + STORE_MS));
       case LOADED -> {
         loads.ended(e.id(), now);
         e.updateHolding(c.model(), "", true, now);
@@ -248,6 +252,10 @@
       return OrderResponse.HOLDS;
     }
     if (!engine.loading.isEmpty()) {
+      boolean repeated = order.load() && engine.loading.equals(order.model());
+      return repeated ? OrderResponse.ACCEPTED : OrderResponse.CONFLICT;
+    }
+    if (now < engine.evictedMs) {
       return OrderResponse.CONFLICT;
     }
     engine.orders++;
@@ -260,6 +268,7 @@
       engine.loadedMs = now + (store ? STORE_MS : DISK_MS);
     } else {
       engine.held.remove(order.model());
+      engine.evictedMs = now + EVICTION_MS;
     }
     return OrderResponse.ACCEPTED;
   }
@@ -333,6 +342,11 @@
       return loadMs(model) < STORE_MS || loads.storeLoadCount(now) < 4;
     }
 
+    @Override
+    public double requestRate(String model) {
+      return baseline ? 0 : demand.rate(model, now);
+    }
+
     @Override
     public double loadValue(String model) {
       return replicas.loadValue(SERVICE, model, now);
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/OrderSchedulerTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/OrderSchedulerTests.java
@@ -11,6 +11,7 @@
 import io.kumquatspindle.api.fleet.ModelOrder;
 import io.kumquatspindle.api.fleet.OrderResponse;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -43,6 +44,18 @@
     assertEquals(8, load.expectedOrders());
   }
 
+  @Test
+  @DisplayName("waits until an eviction has ended, during which the endpoint rejects orders")
+  void waitsForEviction() {
+    report(0, "a", "b");
+    scheduler.requestLoad("c", "", now + 10_000, now);
+    assertFalse(send().load());
+    respond(OrderResponse.ACCEPTED);
+
+    assertTrue(scheduler.next(context, now + 55).isEmpty());
+    assertTrue(scheduler.next(context, now + 80).isPresent());
+  }
+
   @Test
   @DisplayName("sends no order for a model that does not fit, even while a load is in progress")
   void memory() {
@@ -79,6 +92,34 @@
     assertTrue(scheduler.holds("c", ""));
   }
 
+  @Test
+  @DisplayName("counts the order of a load once, however often the engine accepts it again")
+  void loadLongerThanEstimated() {
+    startLoad();
+    now += 1_000;
+    send();
+    assertEquals(List.of(), respond(OrderResponse.ACCEPTED));
+    now += 100;
+    send();
+    assertEquals(
+        List.of(new HoldingChange("c", "", HoldingChange.Kind.LOADING_FROM_STORE)),
+        respond(OrderResponse.ACCEPTED));
+    int confirmations = 0;
+    for (; confirmations < 100 && now < 17_000; now += 20) {
+      if (scheduler.next(context, now).isPresent()) {
+        confirmations++;
+        respond(OrderResponse.ACCEPTED);
+      }
+    }
+    assertTrue(confirmations <= 20, confirmations + " orders to confirm a load");
+
+    now += 500;
+    assertEquals(1, send().expectedOrders());
+    respond(OrderResponse.HOLDS);
+    scheduler.requestLoad("d", "", now + 10_000, now);
+    assertEquals(1, send().expectedOrders());
+  }
+
   @Test
   @DisplayName("reads the state if a load is never confirmed, instead of repeating it forever")
   void unconfirmedLoad() {
@@ -155,6 +196,32 @@
       assertEquals("a", send().model());
     }
 
+    @Test
+    @DisplayName("if no goal can be met, loads a model that many callers miss before a slow one")
+    void shortLoadOfModelInDemand() {
+      report(0);
+      context.loadMs.put("a", 6_000L);
+      context.requestRates.put("b", 2.0);
+      scheduler.requestLoad("a", "", now, now);
+      now += 2_000;
+      scheduler.requestLoad("b", "", now, now);
+      now += 100;
+
+      assertEquals("b", send().model());
+    }
+
+    @Test
+    @DisplayName("loads a slow model before a quick one when it has waited for long")
+    void agedSlowLoad() {
+      report(0);
+      context.loadMs.put("a", 6_000L);
+      scheduler.requestLoad("a", "", now, now);
+      now += 20_000;
+      scheduler.requestLoad("b", "", now, now);
+
+      assertEquals("a", send().model());
+    }
+
     @Test
     @DisplayName("uses the goal of a newer request when the earlier one has passed")
     void newerGoal() {
@@ -338,6 +405,13 @@
     private final Set<String> unneeded = new HashSet<>();
     private final Set<String> urgent = new HashSet<>();
     private final Set<String> surplus = new HashSet<>();
+    private final Map<String, Long> loadMs = new HashMap<>();
+    private final Map<String, Double> requestRates = new HashMap<>();
+
+    @Override
+    public double requestRate(String model) {
+      return requestRates.getOrDefault(model, 0.0);
+    }
 
     @Override
     public EngineInfo engine() {
@@ -351,7 +425,7 @@
 
     @Override
     public long loadMs(String model) {
-      return 1_000;
+      return loadMs.getOrDefault(model, 1_000L);
     }
 
     @Override
