Archive the classes that requests load

The archive held the classes of a program without store, endpoint and callers, so that those of the request path were parsed and verified while callers waited after a restart.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeSettings.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeSettings.java
@@ -98,20 +98,6 @@
     return result;
   }
 
-  /**
-   * Returns settings for a VM that listens on free ports of the loopback interface and has no
-   * reachable store.
-   *
-   * @return the settings
-   */
-  public static NodeSettings unconnected() {
-    String host = "127.0.0.1";
-    List<String> domains = List.of("domain");
-    return new NodeSettings(
-        "vm", host, "domain", domains, true, 0, 0, 0, 0, host, 1, 8, 1_000, 2_000, 2_000, true,
-        3_000, 10_000, 0, 0, 1_000, 1);
-  }
-
   /**
    * Returns the maximum wait of a long poll for the configuration. The store may fail to complete a
    * waiting poll when a record arrives, so half of the available time is left for the next one.
