Load adapters where no load keeps the engine busy

The choice and the prediction count the load in progress; callers who cannot be served in time are refused at once. adapterBesideLoad and adapterBehindLoads fail on the old code.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
@@ -152,13 +152,12 @@
 
   /** Returns the estimated time until a load at an endpoint would complete, in ms. */
   private double loadDelayMs(Endpoint e, ModelInfo model, long now) {
-    double ms = e.avoided(now) ? AVOIDED_COST_MS : 0;
+    double ms = (e.avoided(now) ? AVOIDED_COST_MS : 0) + remainingLoadMs(e, now);
     if (e.holds(model.name(), "", now)) {
       return ms + e.utilization(now) * model.diskLoadMs();
     }
     Optional<ActiveLoads.Load> active = loads.loadAt(e.id(), now);
     if (active.isPresent()) {
-      ms += Math.max(0, active.get().untilMs() - now);
       if (active.get().model().equals(model.name())) {
         return ms;
       }
@@ -171,6 +170,13 @@
     return ms + weightedLoadMs(e.entry(), model);
   }
 
+  /**
+   * Returns the time until a load in progress ends, before which the engine takes no other order.
+   */
+  private long remainingLoadMs(Endpoint e, long now) {
+    return loads.loadAt(e.id(), now).map(l -> Math.max(0, l.untilMs() - now)).orElse(0L);
+  }
+
   /** Returns the cost of a load to the callers of the other models of an endpoint, in ms. */
   private double disruptionMs(Endpoint e, EngineInfo engine, ModelInfo model, long now) {
     boolean loading =
@@ -189,27 +195,33 @@
   }
 
   /**
-   * Estimates when a model will be available at any endpoint, if it is requested now.
+   * Estimates when a model or an adapter will be available at any endpoint, if it is requested now.
+   * The time that an adapter itself takes to load is neglected.
    *
    * @param service name of the service
    * @param model the model
+   * @param adapter name of the adapter, or an empty string
    * @param storeLoadsAtOnce maximum number of concurrent loads from the weight store that run at
    *     full speed
    * @param now current time, in ms
    * @return time from now, in ms
    */
-  public long readyInMs(String service, ModelInfo model, int storeLoadsAtOnce, long now) {
+  public long readyInMs(
+      String service, ModelInfo model, String adapter, int storeLoadsAtOnce, long now) {
+    List<Endpoint> holders = endpoints.holders(service, model.name(), now);
+    if (!holders.isEmpty()) {
+      return adapter.isEmpty()
+          ? 0
+          : holders.stream().mapToLong(e -> remainingLoadMs(e, now)).min().orElse(0);
+    }
     long storeMs = model.storeLoadMs();
     if (loads.storeLoadCount(now) >= storeLoadsAtOnce) {
       storeMs += model.storeLoadMs() / 2;
     }
-    if (!endpoints.holders(service, model.name(), now).isEmpty()) {
-      return 0;
-    }
     long best = storeMs;
     for (Endpoint e : endpoints.available(service)) {
       Optional<ActiveLoads.Load> load = loads.loadAt(e.id(), now);
-      long remainingMs = load.map(l -> Math.max(0, l.untilMs() - now)).orElse(0L);
+      long remainingMs = remainingLoadMs(e, now);
       boolean sameModel = load.isPresent() && load.get().model().equals(model.name());
       long ms = loadMs(e.entry(), model);
       if (sameModel) {
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/DecisionScaleTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/DecisionScaleTests.java
@@ -110,7 +110,7 @@
         100,
         () ->
             chooser.readyInMs(
-                TestEndpoints.SERVICE, engine.models().get(model((int) (++now))), 4, now));
+                TestEndpoints.SERVICE, engine.models().get(model((int) (++now))), "", 4, now));
   }
 
   @Test
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementChooserTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementChooserTests.java
@@ -6,6 +6,7 @@
 
 import io.kumquatspindle.api.fleet.EngineInfo;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -77,6 +78,34 @@
     assertEquals("e2", choose("n", 100).orElseThrow().id());
   }
 
+  @Test
+  @DisplayName("loads an adapter at a holder of its model that is not busy with another load")
+  void adapterBesideLoad() {
+    for (String busy : List.of("e1", "e2")) {
+      loads.started(busy, new ActiveLoads.Load("n", true, 6_000));
+      EngineInfo engine = TestEndpoints.engineInfo("a", "b", "c", "n");
+      Endpoint chosen =
+          chooser
+              .choose(TestEndpoints.SERVICE, engine, "a", "x", "west", Set.of(), 100)
+              .orElseThrow();
+      assertNotEquals(busy, chosen.id());
+      loads.ended(busy, 100);
+    }
+  }
+
+  @Test
+  @DisplayName("expects an adapter only after the load that keeps each holder of its model busy")
+  void adapterBehindLoads() {
+    loads.started("e1", new ActiveLoads.Load("n", true, 6_000));
+    EngineInfo engine = TestEndpoints.engineInfo("a", "b", "c", "n");
+    assertEquals(
+        0, chooser.readyInMs(TestEndpoints.SERVICE, engine.models().get("a"), "x", 4, 100));
+    loads.started("e2", new ActiveLoads.Load("n", true, 5_000));
+    assertEquals(
+        4_900, chooser.readyInMs(TestEndpoints.SERVICE, engine.models().get("a"), "x", 4, 100));
+    assertEquals(0, chooser.readyInMs(TestEndpoints.SERVICE, engine.models().get("a"), "", 4, 100));
+  }
+
   @Test
   @DisplayName("prefetches each model without a copy at exactly one endpoint that is not busy")
   void prefetch() {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/ModelLoader.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/ModelLoader.java
@@ -20,13 +20,14 @@
       String service, String model, String adapter, long goalMs, Map<String, Integer> attempts);
 
   /**
-   * Predicts how long it takes until an endpoint holds a model that is requested now.
+   * Predicts how long it takes until an endpoint holds a model or an adapter that is requested now.
    *
    * @param service name of the service
    * @param model name of the model
+   * @param adapter name of the adapter, or empty text
    * @return time from now in ms
    */
-  long readyInMs(String service, String model);
+  long readyInMs(String service, String model, String adapter);
 
   /**
    * Returns whether a load of a model is in progress.
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -134,10 +134,10 @@
   }
 
   @Override
-  public long readyInMs(String service, String model) {
+  public long readyInMs(String service, String model, String adapter) {
     ModelInfo info = engine(service).map(e -> e.models().get(model)).orElse(null);
     int atOnce = node.settings().storeLoadsAtOnce();
-    return info == null ? 0 : chooser.readyInMs(service, info, atOnce, node.now());
+    return info == null ? 0 : chooser.readyInMs(service, info, adapter, atOnce, node.now());
   }
 
   @Override
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/PendingRequests.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/PendingRequests.java
@@ -82,7 +82,7 @@
     q.requests.add(request);
     pendingCount++;
     requestLoad(key, q);
-    long readyMs = loader.readyInMs(request.service(), request.model());
+    long readyMs = loader.readyInMs(request.service(), request.model(), request.adapter());
     long unmetMs = unmetMs(key);
     node.log()
         .line("waits")
@@ -142,7 +142,7 @@
         requestLoad(key, q);
         if (node.now() - q.lastDeadlineCheckMs >= DEADLINE_CHECK_INTERVAL_MS) {
           q.lastDeadlineCheckMs = node.now();
-          long readyMs = loader.readyInMs(key.service(), key.model());
+          long readyMs = loader.readyInMs(key.service(), key.model(), key.adapter());
           List.copyOf(q.requests).forEach(request -> rejectIfLate(request, readyMs));
         }
       }
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/PendingRequestsTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/PendingRequestsTests.java
@@ -208,7 +208,7 @@
     }
 
     @Override
-    public long readyInMs(String service, String model) {
+    public long readyInMs(String service, String model, String adapter) {
       return readyInMs;
     }
 
