Let a restarted VM order the endpoints that it still holds

A VM asks for the owners of its group before its first join; what is assigned to itself by then cannot have been ordered by another VM since. Partitions of other VMs wait as before: PartitionOwnershipTests.restarted fails on the old code, startedAfterOther guards the other case.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderLease.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderLease.java
@@ -16,6 +16,7 @@
   private final boolean fencingEnforced;
   private final Map<Integer, Long> acquiredMs = new HashMap<>();
   private final Set<Integer> fencedPartitions = new HashSet<>();
+  private final Set<Integer> retainedPartitions = new HashSet<>();
   private long generation;
   private long renewedMs = Long.MIN_VALUE / 2;
   private long renewedWallMs = Long.MIN_VALUE / 2;
@@ -34,6 +35,17 @@
     this.fencingEnforced = fencingEnforced;
   }
 
+  /**
+   * Handles that the group assigned partitions to this VM when its program started, so that they
+   * are its own since before the restart. No other VM can have sent orders meanwhile, and the first
+   * renewal acquires them without a delay.
+   *
+   * @param partitions partitions assigned to this VM before its first renewal
+   */
+  public void retain(Set<Integer> partitions) {
+    retainedPartitions.addAll(partitions);
+  }
+
   /**
    * Handles the response to a renewal.
    *
@@ -55,7 +67,10 @@
     renewedMs = sentMs;
     renewedWallMs = sentWallMs;
     acquiredMs.keySet().retainAll(partitions);
-    partitions.forEach(p -> acquiredMs.putIfAbsent(p, now));
+    for (int p : partitions) {
+      acquiredMs.putIfAbsent(p, retainedPartitions.contains(p) ? now - handoverDelayMs : now);
+    }
+    retainedPartitions.clear();
   }
 
   /** Releases all partitions, until the next renewal acquires them again. */
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/PartitionOwnership.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/PartitionOwnership.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Tracks which VM holds which endpoints. Each failure domain has a group in the store whose members
@@ -50,6 +51,7 @@
   private long lastOwnersRequestMs = Long.MIN_VALUE / 2;
   private long lastJoinMs = Long.MIN_VALUE / 2;
   private boolean joinPending;
+  private boolean ownersReadAtStart;
   private boolean leftGroup;
   private long lastTickMs;
   private long lastTickWallClockMs;
@@ -94,6 +96,14 @@
     if (leftGroup || joinPending) {
       return;
     }
+    if (!ownersReadAtStart) {
+      readOwnersAtStart();
+      return;
+    }
+    joinWhenDue(now, wallClockMs);
+  }
+
+  private void joinWhenDue(long now, long wallClockMs) {
     if (now - lastJoinMs >= JOIN_INTERVAL_MS) {
       join(now, wallClockMs);
     }
@@ -104,6 +114,25 @@
     }
   }
 
+  /** Asks which partitions the group has assigned to this VM since before a restart, then joins. */
+  private void readOwnersAtStart() {
+    ownersReadAtStart = true;
+    joinPending = true;
+    store.partitionOwners(
+        groupName(node.settings().domain()),
+        response -> {
+          joinPending = false;
+          Map<Integer, String> owners = response.orElse(Map.of());
+          lease.retain(
+              owners.keySet().stream()
+                  .filter(p -> owners.get(p).equals(member))
+                  .collect(Collectors.toSet()));
+          if (!leftGroup) {
+            joinWhenDue(node.now(), System.currentTimeMillis());
+          }
+        });
+  }
+
   private void join(long now, long wallClockMs) {
     joinPending = true;
     lastJoinMs = now;
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/PartitionOwnershipTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/PartitionOwnershipTests.java
@@ -1,7 +1,10 @@
 package io.kumquatspindle.node.order;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.kumquatspindle.engine.fleet.Hashes;
 import io.kumquatspindle.node.NodeContext;
 import io.kumquatspindle.node.TestNodes;
 import io.kumquatspindle.node.peer.Peers;
@@ -14,6 +17,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 
@@ -48,6 +52,41 @@
     assertEquals(Set.of(FIRST, "10.1.0.2:7600", JOINED_TOGETHER), Set.copyOf(peers.addresses()));
   }
 
+  @Test
+  @DisplayName("lets a VM that restarts before its membership ends order its endpoints at once")
+  void restarted() {
+    groups.setMembers("orders-west", Map.of(0, TestNodes.SELF + "|vm", 1, FIRST + "|vm-2"));
+    groups.setMembers("orders-east", Map.of());
+    groups.joined = new RecordStore.Joined(4, Set.of(0));
+    ownership.tick();
+
+    assertEquals(Set.of(0), ownership.heldPartitions());
+    assertTrue(ownership.mayOrder(endpointIn(0)));
+  }
+
+  @Test
+  @DisplayName("makes a VM wait that gets the partitions of another one when it starts")
+  void startedAfterOther() {
+    groups.setMembers("orders-west", Map.of(0, FIRST + "|vm-2", 1, FIRST + "|vm-2"));
+    groups.setMembers("orders-east", Map.of());
+    groups.joined = new RecordStore.Joined(4, Set.of(0, 1));
+    ownership.tick();
+    now.addAndGet(2_900);
+    assertFalse(ownership.mayOrder(endpointIn(0)));
+
+    now.addAndGet(100);
+    assertTrue(ownership.mayOrder(endpointIn(0)));
+  }
+
+  /** Returns the identity of an endpoint in a partition. */
+  private String endpointIn(int partition) {
+    return IntStream.range(0, 100)
+        .mapToObj(i -> "e" + i)
+        .filter(e -> Math.floorMod(Hashes.of(e), 2L) == partition)
+        .findFirst()
+        .orElseThrow();
+  }
+
   @Test
   @DisplayName("has no holder for partitions that the store has not assigned")
   void unownedPartitions() {
