Split the load in progress from the order scheduler

What is known of the load that an engine executes, and when to confirm it, is a class of its own; so is the context that its tests set.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderScheduler.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderScheduler.java
@@ -35,12 +35,6 @@
    */
   static final long EVICTION_MS = 60;
 
-  /** Delay before a load that takes longer than estimated is confirmed again; then doubled. */
-  private static final long MIN_CONFIRMATION_PAUSE_MS = 60;
-
-  /** Maximum delay between two attempts to confirm a load, in ms. */
-  private static final long MAX_CONFIRMATION_PAUSE_MS = 500;
-
   /** Failed attempts to confirm a load after which the state of the endpoint is read. */
   private static final int CONFIRMATIONS_BEFORE_REPORT = 3;
 
@@ -48,14 +42,12 @@
   private final RequestedLoads requested = new RequestedLoads();
   private final DrainingModel drain = new DrainingModel();
   private Optional<ModelOrder> pendingOrder = Optional.empty();
-  private Optional<String> loading = Optional.empty();
+  private final LoadInProgress load = new LoadInProgress();
   private boolean reportPending;
   private boolean stateKnown;
   private long orderCount;
   private long lastOrderMs = Long.MIN_VALUE / 2;
   private long notBeforeMs;
-  private long confirmLoadAtMs;
-  private long confirmationPauseMs;
   private int consecutiveConflicts;
 
   /** The next action to take. */
@@ -109,7 +101,7 @@
     Map<String, Integer> queued = new HashMap<>();
     for (String m : requested.models()) {
       boolean known = context.engine().models().containsKey(m);
-      if (known && !holds(m, "") && !loading.equals(Optional.of(m))) {
+      if (known && !holds(m, "") && !load.model().equals(Optional.of(m))) {
         queued.put(m, (int) context.loadMs(m));
       }
     }
@@ -164,7 +156,7 @@
   }
 
   public Optional<String> loading() {
-    return loading;
+    return load.model();
   }
 
   public int requestedLoadCount() {
@@ -173,7 +165,7 @@
 
   /** Returns whether nothing is requested or in progress, so that there is no next step. */
   public boolean idle() {
-    return requested.isEmpty() && loading.or(drain::model).isEmpty() && pendingOrder.isEmpty();
+    return requested.isEmpty() && load.model().or(drain::model).isEmpty() && pendingOrder.isEmpty();
   }
 
   /**
@@ -194,17 +186,14 @@
       reportPending = true;
       return Optional.of(new Step.ReadState());
     }
-    if (loading.isPresent() && now >= confirmLoadAtMs) {
+    if (load.mustBeConfirmed(now)) {
       if (consecutiveConflicts >= CONFIRMATIONS_BEFORE_REPORT) {
         reportPending = true;
         return Optional.of(new Step.ReadState());
       }
-      return send(
-          new ModelOrder(
-              true, loading.get(), Optional.empty(), context.fencingNumber(), orderCount),
-          now);
+      return send(order(true, load.model().orElseThrow(), Optional.empty(), context), now);
     }
-    if (loading.isPresent()) {
+    if (load.model().isPresent()) {
       // While it loads a model, the engine rejects all orders, including those for adapters.
       return Optional.empty();
     }
@@ -230,15 +219,15 @@
       notBeforeMs = now + REPORT_LAG_MS;
       return;
     }
-    if (loading.isPresent() && report.get().busy()) {
-      confirmLoadAtMs = now + REPORT_LAG_MS / 2;
-      notBeforeMs = confirmLoadAtMs;
+    if (load.model().isPresent() && report.get().busy()) {
+      notBeforeMs = now + REPORT_LAG_MS / 2;
+      load.confirmIn(REPORT_LAG_MS / 2, now);
       return;
     }
     orderCount = report.get().acceptedOrders();
     stateKnown = !report.get().busy();
     consecutiveConflicts = 0;
-    loading = Optional.empty();
+    load.end();
     if (!stateKnown) {
       notBeforeMs = now + REPORT_LAG_MS / 2;
     }
@@ -260,8 +249,8 @@
     switch (response) {
       case ACCEPTED -> {
         consecutiveConflicts = 0;
-        if (confirmsLoad(order)) {
-          return onStillLoading(order, context, now);
+        if (load.isConfirmedBy(order)) {
+          return load.continues(context, now);
         }
         orderCount++;
         return onAccepted(order, context, now);
@@ -276,7 +265,7 @@
       }
       case FENCED, REJECTED, UNKNOWN -> {
         stateKnown = false;
-        loading = Optional.empty();
+        load.end();
         notBeforeMs = now + CONFLICT_PAUSE_MS;
         return List.of();
       }
@@ -286,38 +275,12 @@
 
   private void onConflict(ModelOrder order, long now) {
     consecutiveConflicts++;
-    if (confirmsLoad(order)) {
-      confirmLoadAtMs = now + CONFLICT_PAUSE_MS;
-      return;
+    if (load.isConfirmedBy(order)) {
+      load.confirmIn(CONFLICT_PAUSE_MS, now);
+    } else {
+      notBeforeMs = now + CONFLICT_PAUSE_MS;
+      stateKnown &= consecutiveConflicts < CONFLICTS_BEFORE_REPORT;
     }
-    notBeforeMs = now + CONFLICT_PAUSE_MS;
-    if (consecutiveConflicts >= CONFLICTS_BEFORE_REPORT) {
-      stateKnown = false;
-    }
-  }
-
-  private boolean confirmsLoad(ModelOrder order) {
-    return order.load() && order.adapter().isEmpty() && loading.equals(Optional.of(order.model()));
-  }
-
-  /**
-   * Handles that a load is still in progress: the engine accepts its order again and does not count
-   * it. If the load takes much longer than that of a copy, there was none, and it is read from the
-   * weight store.
-   */
-  private List<HoldingChange> onStillLoading(ModelOrder order, OrderContext context, long now) {
-    boolean secondAttempt = confirmationPauseMs == 2 * MIN_CONFIRMATION_PAUSE_MS;
-    confirmLoadAtMs = now + confirmationPauseMs;
-    confirmationPauseMs = Math.min(MAX_CONFIRMATION_PAUSE_MS, 2 * confirmationPauseMs);
-    boolean fromCopy = context.loadMs(order.model()) < storeLoadMs(order.model(), context);
-    return secondAttempt && fromCopy
-        ? List.of(new HoldingChange(order.model(), "", HoldingChange.Kind.LOADING_FROM_STORE))
-        : List.of();
-  }
-
-  private static long storeLoadMs(String model, OrderContext context) {
-    ModelInfo info = context.engine().models().get(model);
-    return info == null ? 0 : info.storeLoadMs();
   }
 
   private List<HoldingChange> onAccepted(ModelOrder order, OrderContext context, long now) {
@@ -325,9 +288,7 @@
       return adapterChanged(order, now);
     }
     if (order.load()) {
-      loading = Optional.of(order.model());
-      confirmLoadAtMs = now + context.loadMs(order.model());
-      confirmationPauseMs = MIN_CONFIRMATION_PAUSE_MS;
+      load.begin(order.model(), context.loadMs(order.model()), now);
       return List.of(new HoldingChange(order.model(), "", HoldingChange.Kind.LOADING));
     }
     modelEvicted(order.model());
@@ -344,7 +305,7 @@
       modelEvicted(order.model());
       return List.of(new HoldingChange(order.model(), "", HoldingChange.Kind.EVICTED));
     }
-    loading = Optional.empty();
+    load.end();
     residents.add(order.model(), now);
     requested.remove(order.model(), "");
     return List.of(new HoldingChange(order.model(), "", HoldingChange.Kind.LOADED));
@@ -428,8 +389,8 @@
   }
 
   private double usedMb(EngineInfo engine) {
-    ModelInfo loadingModel = loading.map(engine.models()::get).orElse(null);
-    return residents.usedMb(engine) + (loadingModel == null ? 0 : loadingModel.weightsMb());
+    double loadingMb = load.model().map(engine.models()::get).map(ModelInfo::weightsMb).orElse(0.0);
+    return residents.usedMb(engine) + loadingMb;
   }
 
   private ModelOrder order(
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PrefetchPlanner.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PrefetchPlanner.java
@@ -86,18 +86,22 @@
     Map<String, String> plan = new HashMap<>();
     engine.models().values().stream()
         .filter(m -> copies.getOrDefault(m.name(), 0) < targetCopies(m))
+        .map(m -> new Missing(m.name(), targetCopies(m), Hashes.of(m.name())))
         .sorted(
-            Comparator.comparingInt(PrefetchPlanner::targetCopies)
-                .thenComparing(m -> Hashes.of(m.name()))
+            Comparator.comparingInt(Missing::targetCopies)
+                .thenComparingLong(Missing::hash)
                 .reversed())
         .forEach(
             m ->
-                fetchingEndpoint(m.name(), idle)
+                fetchingEndpoint(m, idle)
                     .filter(c -> !c.loading())
-                    .ifPresent(c -> plan.putIfAbsent(c.endpoint().id(), m.name())));
+                    .ifPresent(c -> plan.putIfAbsent(c.endpoint().id(), m.model())));
     return plan;
   }
 
+  /** A model with too few copies, and the hash of its name, which is compared often. */
+  private record Missing(String model, int targetCopies, long hash) {}
+
   /** An endpoint that is not busy. */
   private record Candidate(Endpoint endpoint, Set<String> modelsWithCopy, boolean loading) {}
 
@@ -120,13 +124,12 @@
    * Selects one endpoint for each model by rendezvous hashing, so that no two endpoints fetch the
    * same model.
    */
-  private static Optional<Candidate> fetchingEndpoint(String model, List<Candidate> idle) {
-    long hash = Hashes.of(model);
+  private static Optional<Candidate> fetchingEndpoint(Missing missing, List<Candidate> idle) {
     Candidate best = null;
     long bestHash = Long.MIN_VALUE;
     for (Candidate c : idle) {
-      long candidateHash = Hashes.of(hash, c.endpoint().hash());
-      if (candidateHash > bestHash && !c.modelsWithCopy().contains(model)) {
+      long candidateHash = Hashes.of(missing.hash(), c.endpoint().hash());
+      if (candidateHash > bestHash && !c.modelsWithCopy().contains(missing.model())) {
         best = c;
         bestHash = candidateHash;
       }
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/OrderSchedulerTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/OrderSchedulerTests.java
@@ -5,14 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.kumquatspindle.api.fleet.EngineInfo;
 import io.kumquatspindle.api.fleet.EngineReport;
 import io.kumquatspindle.api.fleet.LoadedModel;
 import io.kumquatspindle.api.fleet.ModelOrder;
 import io.kumquatspindle.api.fleet.OrderResponse;
 import java.util.Arrays;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,7 +21,7 @@
 @DisplayName("Order scheduler")
 class OrderSchedulerTests {
   private final OrderScheduler scheduler = new OrderScheduler();
-  private final TestContext context = new TestContext();
+  private final TestOrderContext context = new TestOrderContext();
   private long now = 10_000;
 
   @Test
@@ -399,68 +396,4 @@
   private List<HoldingChange> respond(OrderResponse response) {
     return scheduler.onResponse(response, context, now);
   }
-
-  private static final class TestContext implements OrderContext {
-    private final Set<String> inProgress = new HashSet<>();
-    private final Set<String> unneeded = new HashSet<>();
-    private final Set<String> urgent = new HashSet<>();
-    private final Set<String> surplus = new HashSet<>();
-    private final Map<String, Long> loadMs = new HashMap<>();
-    private final Map<String, Double> requestRates = new HashMap<>();
-
-    @Override
-    public double requestRate(String model) {
-      return requestRates.getOrDefault(model, 0.0);
-    }
-
-    @Override
-    public EngineInfo engine() {
-      return TestEndpoints.engineInfo("a", "b", "c", "d");
-    }
-
-    @Override
-    public long fencingNumber() {
-      return 41;
-    }
-
-    @Override
-    public long loadMs(String model) {
-      return loadMs.getOrDefault(model, 1_000L);
-    }
-
-    @Override
-    public boolean mayLoad(String model) {
-      return true;
-    }
-
-    @Override
-    public double loadValue(String model) {
-      return 1;
-    }
-
-    @Override
-    public boolean replicaNeeded(String model) {
-      return !unneeded.contains(model);
-    }
-
-    @Override
-    public boolean urgent(String model) {
-      return urgent.contains(model);
-    }
-
-    @Override
-    public boolean surplus(String model) {
-      return surplus.contains(model);
-    }
-
-    @Override
-    public double keepValue(String model) {
-      return 0.1;
-    }
-
-    @Override
-    public boolean requestsInProgress(String model, String adapter) {
-      return inProgress.contains(model);
-    }
-  }
 }
