Keep the lease time between holders when the store reassigns at once

The store may reassign all partitions at once. The holder before learns that from its next join, up to a second later, while the new one counted lease_ms from its own join: 2.1 s lay between the orders of two VMs, and 3 s are required.

Open: in a site whose engines ignore fencing numbers, a VM that is cut off from the store at the moment of such a reassignment may order until its membership ends.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/PartitionOwnership.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/PartitionOwnership.java
@@ -26,6 +26,9 @@
   /** Time to live of a member, in ms; long enough that one lost join does not lose partitions. */
   private static final long MEMBER_TTL_MS = 3_000;
 
+  /** Time by which a join may be late, in ms: the interval of the checks, and a slow response. */
+  private static final long TICK_SLACK_MS = 200;
+
   /** Interval between requests for the members of all groups, in ms. */
   private static final long OWNERS_INTERVAL_MS = 30_000;
 
@@ -73,7 +76,9 @@
     this.quotas = quotas;
     this.member = self + "|" + node.settings().vm();
     this.ttlMs = Math.max(MEMBER_TTL_MS, node.settings().groupTtlMinMs());
-    this.lease = new OrderLease(ttlMs, node.settings().leaseMs(), node.settings().fenced());
+    // The store may reassign a partition at once; its holder learns that from its next join.
+    long handoverDelayMs = node.settings().leaseMs() + JOIN_INTERVAL_MS + TICK_SLACK_MS;
+    this.lease = new OrderLease(ttlMs, handoverDelayMs, node.settings().fenced());
     this.lastTickMs = node.now();
     this.lastTickWallClockMs = System.currentTimeMillis();
   }
