Learn response times from successes only

A refusal comes within a few ms and tells nothing of the time that an engine takes; many of them would have shortened the time for which the first byte of a stream is awaited.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
@@ -229,7 +229,6 @@
       return false;
     }
     lastProgressMs = context.node().now();
-    responseTimes().record(exchange.tokens(), lastProgressMs - sentMs);
     info.load().ifPresent(l -> endpoint.recordLoad(l, context.node().now()));
     if (!own) {
       onFailed("response carries the id of another request");
@@ -242,6 +241,10 @@
       onFailed("successful response without proof of origin or with Content-Encoding");
       return true;
     }
+    if (success) {
+      // Refusals come at once and tell nothing of the work.
+      responseTimes().record(exchange.tokens(), lastProgressMs - sentMs);
+    }
     head = response;
     notRun = info.notRun() || response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
     if (!notRun && !info.authenticated()) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EndpointConnections.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EndpointConnections.java
@@ -156,14 +156,4 @@
           });
     }
   }
-
-  /**
-   * Returns whether a connection to an endpoint is idle.
-   *
-   * @param address address of the endpoint
-   * @return whether a request that may be repeated needs no new connection
-   */
-  public boolean hasIdle(String address) {
-    return idleByAddress.containsKey(address);
-  }
 }
