Read the endpoints every 0.9 s on all sites again

By reading: with a read every 1.8 s, what peers tell of a model lapses after 2.5 s, before the entry that confirms it is read, so that the model seems gone and is wanted again. The delay is at most 0.9 s again, as small sites had it all the time.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeSettings.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeSettings.java
@@ -57,6 +57,7 @@
 
   private static final int MAX_PORT = 65_535;
   private static final long HOUR_MS = 3_600_000;
+  private static final long MAX_ENDPOINTS_READ_DELAY_MS = 900;
 
   /**
    * Reads and validates a settings file.
@@ -110,12 +111,13 @@
 
   /**
    * Returns the delay between reads of the endpoints. A read that fails once, and a slow response,
-   * must not let requests go to an endpoint that leaves for too long.
+   * must not let requests go to an endpoint that leaves for too long. What peers tell of a model
+   * must stay valid until the entry has been read that a heartbeat later confirms it.
    *
    * @return time in ms
    */
   public long endpointsReadDelayMs() {
-    return drainMs * 9 / 20;
+    return Math.min(MAX_ENDPOINTS_READ_DELAY_MS, drainMs * 9 / 20);
   }
 
   private static double decimal(Settings s, String section, String key) {
