Say in the log which parts and what progress a broken request had

Cause: the line "broken" told neither the parts of the prompt nor how far the response had come, so that the hypotheses about endpoints that crash one after the other could not be told apart (docs/incidents). Change: RequestHead keeps the parts of the prompt; "broken" has the fields sent_ms, head_ms, events and parts.

--- a/kumquatspindle-api/src/main/java/io/kumquatspindle/api/fleet/RequestHead.java
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/fleet/RequestHead.java
@@ -1,5 +1,6 @@
 package io.kumquatspindle.api.fleet;
 
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -13,7 +14,8 @@
  * @param model name of the model, or empty
  * @param adapter name of the adapter, or empty
  * @param tokens sum of prompt tokens and maximum output tokens; 0 if unknown
- * @param prefixHash identifier of the last part of the prompt, or empty
+ * @param promptParts identifiers of the parts of the prompt, in order; the last one belongs to the
+ *     request or its session, the others are shared with other requests
  * @param resumeAfter id of the last event that the caller received, if it resumes a stream
  */
 public record RequestHead(
@@ -24,5 +26,29 @@
     String model,
     String adapter,
     long tokens,
-    String prefixHash,
-    Optional<String> resumeAfter) {}
+    List<String> promptParts,
+    Optional<String> resumeAfter) {
+
+  /** Copies the list. */
+  public RequestHead {
+    promptParts = List.copyOf(promptParts);
+  }
+
+  /**
+   * Returns the part of the prompt that belongs to the request or its session.
+   *
+   * @return identifier of the part, or empty if the parts are unknown
+   */
+  public String sessionPart() {
+    return promptParts.isEmpty() ? "" : promptParts.get(promptParts.size() - 1);
+  }
+
+  /**
+   * Returns the parts of the prompt that other requests may contain as well.
+   *
+   * @return identifiers of the parts, in order
+   */
+  public List<String> sharedParts() {
+    return promptParts.isEmpty() ? List.of() : promptParts.subList(0, promptParts.size() - 1);
+  }
+}
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.OptionalLong;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -63,6 +64,8 @@
   private boolean finished;
   private boolean stallRecorded;
   private long sentMs;
+  private long headMs;
+  private long eventCount;
   private long lastProgressMs;
   private ScheduledFuture<?> stallTimer;
 
@@ -164,6 +167,12 @@
     return Math.round(STALLED_CLIENT_TIMEOUTS * exchange.route().clientTimeoutMs());
   }
 
+  private AttemptProgress progress() {
+    long now = context.node().now();
+    OptionalLong sinceHeadMs = head == null ? OptionalLong.empty() : OptionalLong.of(now - headMs);
+    return new AttemptProgress(now - sentMs, sinceHeadMs, eventCount);
+  }
+
   private long stallTimeoutMs() {
     return head == null ? firstByteTimeoutMs() : stalledStreamMs();
   }
@@ -213,7 +222,7 @@
     } else if (exchange.mayReplaceStalled()) {
       finish();
       upstream.cancel();
-      exchange.onStalled(endpoint, "no progress for " + stalledMs + " ms");
+      exchange.onStalled(endpoint, "no progress for " + stalledMs + " ms", progress());
     } else {
       scheduleStallCheck(stallTimeoutMs());
     }
@@ -246,6 +255,7 @@
       responseTimes().record(exchange.tokens(), lastProgressMs - sentMs);
     }
     head = response;
+    headMs = lastProgressMs;
     notRun = info.notRun() || response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
     if (!notRun && !info.authenticated()) {
       onFailed("response without proof of origin, status " + response.status().code());
@@ -287,6 +297,7 @@
       return;
     }
     if (forwarder.eventCount() > before) {
+      eventCount += forwarder.eventCount() - before;
       lastProgressMs = context.node().now();
     }
     upstream.setReading(forwarder.isWritable());
@@ -343,7 +354,7 @@
   @Override
   public void onConnectionLost() {
     if (finish()) {
-      exchange.onConnectionLost(endpoint);
+      exchange.onConnectionLost(endpoint, progress());
     }
   }
 
@@ -351,7 +362,7 @@
   public void onFailed(String reason) {
     if (finish()) {
       upstream.cancel();
-      exchange.onFailed(endpoint, reason);
+      exchange.onFailed(endpoint, reason, progress());
     }
   }
 }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -112,7 +112,7 @@
     }
     List<Endpoint> candidates = candidates(now);
     Optional<Endpoint> next =
-        context.selector().choose(candidates, history.tried(), head.prefixHash(), now);
+        context.selector().choose(candidates, history.tried(), head.sessionPart(), now);
     if (next.isPresent()) {
       send(next.get(), now);
     } else if (needsModel()) {
@@ -196,9 +196,9 @@
   private static final long OVERLOAD_AVOID_MS = 100;
 
   /** Called when there is no usable response although the request may have run. */
-  void onFailed(Endpoint endpoint, String reason) {
+  void onFailed(Endpoint endpoint, String reason, AttemptProgress progress) {
     boolean retry = mayRetry() && takeRetry("broken");
-    recordFailure(endpoint, reason);
+    recordFailure(endpoint, reason, progress);
     if (retry) {
       forwarder.discardPartialEvent();
       dispatch();
@@ -207,19 +207,19 @@
     }
   }
 
-  private void recordFailure(Endpoint endpoint, String reason) {
+  private void recordFailure(Endpoint endpoint, String reason, AttemptProgress progress) {
     attempt = Optional.empty();
     history.failed();
     endpoint.recordOutcome(true, context.node().now());
-    log.line("broken", endpoint).field("reason", reason).write();
+    log.broken(endpoint, reason, progress, head.sharedParts());
   }
 
   /** Called when a kept connection was closed before the response; sends the request again. */
-  void onConnectionLost(Endpoint endpoint) {
+  void onConnectionLost(Endpoint endpoint, AttemptProgress progress) {
     if (takeRetry("connection_lost")) {
       resend(endpoint);
     } else {
-      recordFailure(endpoint, "kept connection lost");
+      recordFailure(endpoint, "kept connection lost", progress);
       fail(ErrorKind.ENDPOINT_FAILED, 0, "kept connection lost");
     }
   }
@@ -266,8 +266,8 @@
   }
 
   /** Sends the request to another endpoint after {@link #mayReplaceStalled}. */
-  void onStalled(Endpoint endpoint, String reason) {
-    recordFailure(endpoint, reason);
+  void onStalled(Endpoint endpoint, String reason, AttemptProgress progress) {
+    recordFailure(endpoint, reason, progress);
     forwarder.discardPartialEvent();
     dispatch();
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/ExchangeLog.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/ExchangeLog.java
@@ -5,9 +5,13 @@
 import io.kumquatspindle.engine.fleet.Endpoint;
 import io.kumquatspindle.node.NodeContext;
 import io.kumquatspindle.node.observe.EventLog;
+import java.util.List;
 
 /** Records the events of one request: log lines, metrics and outcomes of its endpoints. */
 final class ExchangeLog {
+  /** Logged in place of the time since the head if there was none. */
+  private static final long NO_HEAD = -1;
+
   private final FrontContext context;
   private final Admission admission;
   private final long arrivedMs;
@@ -63,6 +67,17 @@
     line("silent", endpoint).field("silent_ms", stalledMs).write();
   }
 
+  /** Records that an attempt has failed, and how far its response had come. */
+  void broken(Endpoint endpoint, String reason, AttemptProgress progress, List<String> parts) {
+    line("broken", endpoint)
+        .field("reason", reason)
+        .field("sent_ms", progress.sinceSentMs())
+        .field("head_ms", progress.sinceHeadMs().orElse(NO_HEAD))
+        .field("events", progress.events())
+        .field("parts", String.join(",", parts))
+        .write();
+  }
+
   void served(Endpoint endpoint, int status, long firstByteMs) {
     long first = firstByteMs - arrivedMs;
     long total = node().now() - arrivedMs;
