Heed what endpoints say of their availability in responses

Callers saw requests go to an endpoint that had announced in a response (Server-Leaving) that it leaves, for as long as its entry in the store did not say so, and to one that had refused with Retry-After, 100 ms later. Cause: only the entry counted, and a refusal only lowered the rank. Change: what an endpoint says of itself counts at once and until it restarts, also if its entry lapses and comes back; an endpoint that asks for a pause is no candidate until its end, and callers are told that end if there is no other.

--- a/kumquatspindle-api/src/main/java/io/kumquatspindle/api/fleet/ResponseHead.java
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/fleet/ResponseHead.java
@@ -1,6 +1,7 @@
 package io.kumquatspindle.api.fleet;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * The properties of an endpoint response that are read from its headers.
@@ -9,9 +10,16 @@
  * @param authenticated whether it carries proof that it originates from the endpoint
  * @param notRun whether it states that the request was not executed
  * @param load the current load of the endpoint, if present
+ * @param leaving whether the endpoint states that it is about to leave
+ * @param retryAfterMs time for which the endpoint wants no requests of this VM, in ms, if stated
  */
 public record ResponseHead(
-    Optional<String> requestId, boolean authenticated, boolean notRun, Optional<Load> load) {
+    Optional<String> requestId,
+    boolean authenticated,
+    boolean notRun,
+    Optional<Load> load,
+    boolean leaving,
+    OptionalLong retryAfterMs) {
 
   /**
    * The current load of an endpoint.
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Endpoint.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Endpoint.java
@@ -54,6 +54,8 @@
   private long failureRateAtMs;
   private long avoidUntilMs;
   private int connectFailures;
+  private boolean announcedLeaving;
+  private long refusesUntilMs;
 
   /**
    * Creates the view of an endpoint.
@@ -142,6 +144,58 @@
     avoidUntilMs = Math.max(avoidUntilMs, untilMs);
   }
 
+  /** Adopts what the endpoint has said about its availability before its entry came back. */
+  void keepAnnouncements(Endpoint before) {
+    announcedLeaving = before.announcedLeaving;
+    refuseUntil(before.refusesUntilMs);
+  }
+
+  /** Records that the endpoint said in a response that it is leaving. */
+  void announceLeaving() {
+    announcedLeaving = true;
+  }
+
+  /**
+   * Returns whether the endpoint accepts no new requests, by its entry or by its own word, which
+   * comes first. It holds until the endpoint restarts.
+   *
+   * @return whether it is leaving
+   */
+  public boolean leaving() {
+    return announcedLeaving || entry.leaving();
+  }
+
+  /**
+   * Records that the endpoint rejected a request of this VM and asked for a pause.
+   *
+   * @param untilMs end of the pause, in ms
+   */
+  void refuseUntil(long untilMs) {
+    refusesUntilMs = Math.max(refusesUntilMs, untilMs);
+    avoidUntil(untilMs);
+  }
+
+  /**
+   * Returns whether the endpoint wants no requests of this VM. Unlike an avoided endpoint it is not
+   * used even if there is no other.
+   *
+   * @param now current time, in ms
+   * @return whether a pause that it asked for has not ended
+   */
+  public boolean refuses(long now) {
+    return now < refusesUntilMs;
+  }
+
+  /**
+   * Returns the time until the endpoint accepts requests of this VM again.
+   *
+   * @param now current time, in ms
+   * @return time in ms; 0 or less if it accepts them
+   */
+  public long refusesForMs(long now) {
+    return refusesUntilMs - now;
+  }
+
   /**
    * Records a failed connection attempt, and avoids the endpoint with exponential backoff.
    *
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
@@ -17,14 +17,21 @@
    */
   static final long STORE_RECOVERY_GRACE_MS = 2_000;
 
+  /** Maximum number of removed endpoints that are remembered; a fleet has about 600. */
+  private static final int MAX_REMOVED = 1_024;
+
   private final Map<String, Endpoint> byId = new HashMap<>();
+
+  /** Endpoints whose entries have gone, since an entry may lapse and come back. */
+  private final Map<String, Endpoint> removed = new LruMap<>(MAX_REMOVED);
+
   private final HolderIndex holders = new HolderIndex();
   private final Map<String, Long> pendingRemovals = new HashMap<>();
   private long storeRecoveredMs = Long.MIN_VALUE / 2;
 
   /**
    * Adds or updates an endpoint. An endpoint that restarted under the same ID replaces the previous
-   * one.
+   * one. One whose entry comes back is still bound by what it has said itself.
    *
    * @param entry the entry of the endpoint
    */
@@ -32,7 +39,7 @@
     pendingRemovals.remove(entry.id());
     Endpoint known = byId.get(entry.id());
     if (known == null || known.entry().startedAtMs() != entry.startedAtMs()) {
-      byId.put(entry.id(), new Endpoint(entry, holders::invalidate));
+      byId.put(entry.id(), returnedOrNew(entry));
       holders.clear();
     } else {
       invalidateHolders(known.entry(), entry);
@@ -49,8 +56,20 @@
     }
   }
 
+  private Endpoint returnedOrNew(EndpointEntry entry) {
+    Endpoint before = removed.remove(entry.id());
+    Endpoint added = new Endpoint(entry, holders::invalidate);
+    if (before != null && before.entry().startedAtMs() == entry.startedAtMs()) {
+      added.keepAnnouncements(before);
+    }
+    return added;
+  }
+
   private void removeNow(String id) {
-    byId.remove(id);
+    Endpoint gone = byId.remove(id);
+    if (gone != null) {
+      removed.put(id, gone);
+    }
     holders.clear();
   }
 
@@ -123,6 +142,42 @@
     return byId.values();
   }
 
+  /**
+   * Records that an endpoint said in a response that it is leaving. Its entry may say so later.
+   *
+   * @param endpoint the endpoint
+   * @return whether this was not known before
+   */
+  public boolean announceLeaving(Endpoint endpoint) {
+    Endpoint current = current(endpoint);
+    boolean news = !current.leaving();
+    endpoint.announceLeaving();
+    current.announceLeaving();
+    if (news) {
+      holders.clear();
+    }
+    return news;
+  }
+
+  /**
+   * Records that an endpoint rejected a request of this VM and asked for a pause.
+   *
+   * @param endpoint the endpoint
+   * @param untilMs end of the pause, in ms
+   */
+  public void refuseUntil(Endpoint endpoint, long untilMs) {
+    endpoint.refuseUntil(untilMs);
+    current(endpoint).refuseUntil(untilMs);
+  }
+
+  /** Returns the view that is in use now, as the entry may have gone and come back meanwhile. */
+  private Endpoint current(Endpoint endpoint) {
+    Endpoint current = byId.get(endpoint.id());
+    boolean same =
+        current != null && current.entry().startedAtMs() == endpoint.entry().startedAtMs();
+    return same ? current : endpoint;
+  }
+
   /**
    * Returns the endpoints of a service that accept new work.
    *
@@ -134,7 +189,7 @@
         service,
         () ->
             byId.values().stream()
-                .filter(e -> e.entry().service().equals(service) && !e.entry().leaving())
+                .filter(e -> e.entry().service().equals(service) && !e.leaving())
                 .toList());
   }
 
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/EndpointTableTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/EndpointTableTests.java
@@ -57,6 +57,25 @@
     assertFalse(table.find("e1").orElseThrow().holds("a", "", 1));
   }
 
+  @Test
+  @DisplayName("keeps what an endpoint said of itself while its entry is gone, until it restarts")
+  void announcements() {
+    table.put(TestEndpoints.endpoint("e1", "west", 1, Set.of()));
+    Endpoint e = table.find("e1").orElseThrow();
+    table.remove("e1", 50_000);
+    assertTrue(table.announceLeaving(e));
+    table.refuseUntil(e, 52_000);
+
+    table.put(TestEndpoints.endpoint("e1", "west", 1, Set.of()));
+    assertEquals(List.of(), table.available(TestEndpoints.SERVICE));
+    assertTrue(table.find("e1").orElseThrow().refuses(51_999));
+    assertFalse(table.announceLeaving(e));
+
+    table.put(TestEndpoints.endpoint("e1", "west", 2, Set.of()));
+    assertEquals(1, table.available(TestEndpoints.SERVICE).size());
+    assertFalse(table.find("e1").orElseThrow().refuses(51_999));
+  }
+
   @Test
   @DisplayName("gives recent updates about a model precedence over an older entry")
   void updateOverridesEntry() {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
@@ -5,6 +5,7 @@
 import io.kumquatspindle.api.fleet.ResponseHead;
 import io.kumquatspindle.api.fleet.RouteSpec;
 import io.kumquatspindle.engine.fleet.Endpoint;
+import io.kumquatspindle.engine.fleet.EndpointTable;
 import io.kumquatspindle.engine.fleet.ResponseTimeEstimator;
 import io.kumquatspindle.node.port.HeaderCodec;
 import io.kumquatspindle.node.relay.UpstreamRequest;
@@ -239,6 +240,7 @@
     }
     lastProgressMs = context.node().now();
     info.load().ifPresent(l -> endpoint.recordLoad(l, context.node().now()));
+    recordAvailability(info);
     if (!own) {
       onFailed("response carries the id of another request");
       return true;
@@ -270,6 +272,15 @@
     return true;
   }
 
+  private void recordAvailability(ResponseHead info) {
+    EndpointTable endpoints = context.node().endpoints();
+    if (info.leaving() && endpoints.announceLeaving(endpoint)) {
+      exchange.log().line("endpoint_leaves", endpoint).write();
+    }
+    long now = context.node().now();
+    info.retryAfterMs().ifPresent(ms -> endpoints.refuseUntil(endpoint, now + ms));
+  }
+
   @Override
   public void onData(ByteBuf data) {
     if (finished) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -120,19 +120,31 @@
       ModelWait wait = ModelWait.start(context, head, service, goalMs, waitDeadlineMs(), this);
       modelWait = finished || attempt.isPresent() ? Optional.empty() : Optional.of(wait);
     } else {
-      fail(ErrorKind.NO_ENDPOINT, DEFAULT_RETRY_AFTER_MS, "candidates " + candidates.size());
+      fail(ErrorKind.NO_ENDPOINT, retryAfterMs(now), "candidates " + candidates.size());
     }
   }
 
+  /** Returns when an endpoint that asked for a pause accepts requests again, in ms. */
+  private long retryAfterMs(long now) {
+    return context.node().endpoints().available(service).stream()
+        .filter(e -> e.refuses(now))
+        .mapToLong(e -> e.refusesForMs(now))
+        .min()
+        .orElse(DEFAULT_RETRY_AFTER_MS);
+  }
+
   private boolean needsModel() {
     return !head.model().isEmpty()
         && context.node().configuration().flatMap(c -> c.service(service)).isPresent();
   }
 
   private List<Endpoint> candidates(long now) {
-    return head.model().isEmpty()
-        ? context.node().endpoints().available(service)
-        : context.node().endpoints().holders(service, head.model(), head.adapter(), now);
+    List<Endpoint> holders =
+        head.model().isEmpty()
+            ? context.node().endpoints().available(service)
+            : context.node().endpoints().holders(service, head.model(), head.adapter(), now);
+    boolean anyRefuses = holders.stream().anyMatch(e -> e.refuses(now));
+    return anyRefuses ? holders.stream().filter(e -> !e.refuses(now)).toList() : holders;
   }
 
   private void send(Endpoint endpoint, long now) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -150,7 +150,7 @@
   private boolean acceptsRequests(String endpoint, String service) {
     return node.endpoints()
         .find(endpoint)
-        .filter(e -> e.entry().service().equals(service) && !e.entry().leaving())
+        .filter(e -> e.entry().service().equals(service) && !e.leaving())
         .isPresent();
   }
 
@@ -263,7 +263,7 @@
     for (Endpoint e : List.copyOf(node.endpoints().all())) {
       Optional<EngineInfo> engine = engine(e.entry().service());
       boolean mayOrder = ownership.holds(e.id(), e.entry().domain()) && ownership.mayOrder(e.id());
-      if (engine.isEmpty() || !mayOrder || e.entry().leaving()) {
+      if (engine.isEmpty() || !mayOrder || e.leaving()) {
         continue;
       }
       // A load blocks all other orders of its endpoint for seconds, so demand lowers the limit.
@@ -299,7 +299,7 @@
   }
 
   private void runNextStep(Endpoint e, OrderScheduler orders) {
-    if (!ownership.mayOrder(e.id()) || e.entry().leaving()) {
+    if (!ownership.mayOrder(e.id()) || e.leaving()) {
       return;
     }
     Optional<EngineInfo> engine = engine(e.entry().service());
