Answer requests that are unfinished at the end of the grace period

Reported by operators of similar systems: requests that came late in a planned stop were cut at its end without an answer. Change: just before the exit they get 502 (they may have run), requests that were not sent 503; streams are broken off.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -52,6 +52,9 @@
   /** Time reserved for the exit of the process before it is killed, in ms. */
   private static final long EXIT_RESERVE_MS = 700;
 
+  /** Time for the last answers to leave this VM before the process exits, in ms. */
+  private static final long LAST_ANSWERS_MS = 50;
+
   /** Time before the kill at which requests still waiting for a model are rejected, in ms. */
   private static final long REFUSE_WAITING_RESERVE_MS = 2_000;
 
@@ -265,7 +268,8 @@
     if (front.drained() || remainingMs <= EXIT_RESERVE_MS) {
       front.stopAccepting();
       node.log().line("stopped").field("cut_off", front.connectionCount()).write();
-      stopped.countDown();
+      front.failRemainingRequests();
+      node.schedule(LAST_ANSWERS_MS, stopped::countDown);
       return;
     }
     node.schedule(TICK_INTERVAL_MS, () -> drain(startMs));
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/CallerConnectionHandler.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/CallerConnectionHandler.java
@@ -64,6 +64,13 @@
     }
   }
 
+  /** Ends the request that is in progress, because the program exits. */
+  void failRemainingRequest() {
+    if (current != null) {
+      current.failBeforeExit();
+    }
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     if (!(message instanceof FullHttpRequest request)) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -342,6 +342,13 @@
     }
   }
 
+  /** Ends the request with an answer, or breaks off its response, because the program exits. */
+  void failBeforeExit() {
+    if (!finished) {
+      fail(ErrorKind.SHUTTING_DOWN, DEFAULT_RETRY_AFTER_MS, "end of the grace period");
+    }
+  }
+
   void onCallerDisconnected() {
     if (!finished) {
       log.line("caller_left").field("after_ms", context.node().now() - arrivedMs).write();
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServer.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServer.java
@@ -104,6 +104,12 @@
         .forEach(c -> c.pipeline().get(CallerConnectionHandler.class).rejectWaitingRequest());
   }
 
+  /** Ends the requests that are still in progress, since the program exits. */
+  public void failRemainingRequests() {
+    Set.copyOf(connections)
+        .forEach(c -> c.pipeline().get(CallerConnectionHandler.class).failRemainingRequest());
+  }
+
   private final class PipelineInitializer extends ChannelInitializer<Channel> {
     @Override
     protected void initChannel(Channel ch) {
