Take a stream that ends within an event for broken off

Callers got streams that looked complete: one that ended within an event although its chunks or its length said complete, and an unframed one that an endpoint closed before the first event. Change: the end of a stream within an event, and of an unframed stream without an event, is a break; further empty lines begin no event.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
@@ -334,7 +334,7 @@
     if (finished) {
       return;
     }
-    if (streaming && forwarder.inPartialEvent() && !framed(head)) {
+    if (streaming && (forwarder.inPartialEvent() || eventCount == 0 && !framed(head))) {
       // Without framing, a body that was cut off ends in the same way as a complete one.
       onFailed("stream ended within an event");
       return;
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EventSplitter.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EventSplitter.java
@@ -46,12 +46,13 @@
   }
 
   /**
-   * Returns whether bytes of an incomplete event have been received.
+   * Returns whether bytes of an incomplete event have been received. Further empty lines begin no
+   * event.
    *
    * @return whether the stream would end within an event
    */
   public boolean inPartialEvent() {
-    return buffer.isReadable();
+    return buffer.forEachByte(b -> b == '\n' || b == '\r') >= 0;
   }
 
   /**
