Keep the evidence for quarantined parts in the store

Cause: VMs know what is quarantined from each other, so that all of them killed at once had to see two more crashes, each time. Change: a VM that sees a crash behind a quarantine writes the evidence to a topic (one call a crash); a VM that starts while the system runs reads it. A first start reads nothing, since all calls are priced. CrashingPromptTests.knownAfterRestart, CrashRecordsTests; without the read the former would send the next request with the part to an endpoint.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -5,6 +5,7 @@
 import io.kumquatspindle.api.metrics.MetricsText;
 import io.kumquatspindle.api.metrics.ProcessMetrics;
 import io.kumquatspindle.api.time.MonotonicClock;
+import io.kumquatspindle.node.follow.CrashRecords;
 import io.kumquatspindle.node.follow.FleetStateUpdater;
 import io.kumquatspindle.node.follow.TopicReader;
 import io.kumquatspindle.node.front.FrontServer;
@@ -71,6 +72,7 @@
   private final FleetStateUpdater fleetState;
   private final TopicReader configurationReader;
   private final TopicReader endpointReader;
+  private final CrashRecords crashRecords;
   private Set<String> silentDomains = Set.of();
 
   /**
@@ -129,7 +131,10 @@
             0,
             settings.endpointsReadDelayMs(),
             fleetState.endpointRecordListener());
-    front = FrontServerFactory.create(node, adapter.headers(), pendingRequests, quotas, peers);
+    crashRecords = new CrashRecords(node, store);
+    front =
+        FrontServerFactory.create(
+            node, adapter.headers(), pendingRequests, quotas, peers, crashRecords);
   }
 
   /**
@@ -154,6 +159,9 @@
     node.log().line("start").field("settings", node.settings().toString()).write();
     configurationReader.read();
     endpointReader.read();
+    if (!node.settings().firstStart()) {
+      crashRecords.read();
+    }
     scheduleEvery(GROUP_CHECK_INTERVAL_MS, "group", this::checkGroup);
     scheduleEvery(TICK_INTERVAL_MS, "waits", pendingRequests::tick);
     scheduleEvery(TICK_INTERVAL_MS, "orders", orders::tick);
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServerFactory.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServerFactory.java
@@ -2,6 +2,7 @@
 
 import io.kumquatspindle.engine.fleet.EndpointSelector;
 import io.kumquatspindle.node.NodeContext;
+import io.kumquatspindle.node.follow.CrashRecords;
 import io.kumquatspindle.node.order.PendingRequests;
 import io.kumquatspindle.node.peer.Peers;
 import io.kumquatspindle.node.peer.QuotaEnforcer;
@@ -22,6 +23,7 @@
    * @param pendingRequests requests that wait for a model
    * @param quotas rate limits of the customers
    * @param peers the other VMs
+   * @param crashRecords keeps evidence of crashes in the store
    * @return the server
    */
   public static FrontServer create(
@@ -29,7 +31,8 @@
       HeaderCodec headerCodec,
       PendingRequests pendingRequests,
       QuotaEnforcer quotas,
-      Peers peers) {
+      Peers peers,
+      CrashRecords crashRecords) {
     FrontContext context =
         new FrontContext(
             node,
@@ -40,7 +43,7 @@
             new RetryBudgets(node, peers::vmCount),
             new EndpointConnections(node.loop(), node.clock()),
             new ResponseTimes(),
-            new PromptGuard(node, peers::broadcast),
+            new PromptGuard(node, peers::broadcast, crashRecords),
             new FrontMetrics(node.metrics()),
             new Random());
     return new FrontServer(node, (request, writer) -> new Exchange(context, request, writer));
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/PromptGuard.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/PromptGuard.java
@@ -3,9 +3,11 @@
 import io.kumquatspindle.engine.fleet.Endpoint;
 import io.kumquatspindle.engine.fleet.PromptQuarantine;
 import io.kumquatspindle.node.NodeContext;
+import io.kumquatspindle.node.follow.CrashRecords;
 import io.kumquatspindle.node.peer.NodeMessage;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -18,6 +20,7 @@
   private final NodeContext node;
   private final PromptQuarantine quarantine;
   private final Consumer<NodeMessage> broadcast;
+  private final CrashRecords records;
   private final Set<Exchange> watched = new HashSet<>();
 
   /**
@@ -25,11 +28,13 @@
    *
    * @param node shared context
    * @param broadcast sends a message to all other VMs
+   * @param records keeps the evidence in the store
    */
-  PromptGuard(NodeContext node, Consumer<NodeMessage> broadcast) {
+  PromptGuard(NodeContext node, Consumer<NodeMessage> broadcast, CrashRecords records) {
     this.node = node;
     this.quarantine = node.promptQuarantine();
     this.broadcast = broadcast;
+    this.records = records;
     quarantine.setListener(this);
   }
 
@@ -70,6 +75,10 @@
     node.metrics().counter("prompt_crashes_total").inc();
     quarantine.recordCrash(crashed, unproven, now);
     broadcast.accept(new NodeMessage.Crash(crashed, unproven));
+    Map<String, PromptQuarantine.Evidence> evidence = quarantine.evidence(now);
+    if (evidence.containsKey(crashed)) {
+      records.save(evidence);
+    }
   }
 
   /** Records that a response has come far enough to prove its prompt sound. */
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/port/RecordStore.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/port/RecordStore.java
@@ -7,8 +7,8 @@
 import java.util.function.Consumer;
 
 /**
- * Client of the platform's store, which holds topics of keyed records written by others, and groups
- * whose members share partitions. All callbacks run on the event loop.
+ * Client of the platform's store, which holds topics of keyed records, and groups whose members
+ * share partitions. All callbacks run on the event loop.
  */
 public interface RecordStore {
 
@@ -17,7 +17,9 @@
     /** The operator's configuration, of which each version is complete. */
     CONFIGURATION(true),
     /** Service discovery entries. */
-    ENDPOINTS(false);
+    ENDPOINTS(false),
+    /** Evidence for quarantined parts of prompts, written by the VMs, by crash. */
+    CRASHES(false);
 
     private final boolean newestReplacesOthers;
 
@@ -92,6 +94,16 @@
    */
   void read(Topic topic, long from, long waitMs, Consumer<ReadResult> callback);
 
+  /**
+   * Appends a record, which replaces the earlier ones with its key.
+   *
+   * @param topic a topic that the VMs write
+   * @param key the key
+   * @param value the value
+   * @param callback receives whether the store has confirmed it; if not, it may still be done
+   */
+  void append(Topic topic, String key, byte[] value, Consumer<Boolean> callback);
+
   /**
    * Joins a group or renews the membership.
    *
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/follow/FakeTopicStore.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/follow/FakeTopicStore.java
@@ -28,6 +28,19 @@
     this.loop = loop;
   }
 
+  /** Returns the records in order. */
+  List<KeyedRecord> records() {
+    return List.copyOf(records);
+  }
+
+  @Override
+  public void append(Topic topic, String key, byte[] value, Consumer<Boolean> callback) {
+    if (!failing) {
+      records.add(new KeyedRecord(key, Optional.of(value)));
+    }
+    loop.execute(() -> callback.accept(!failing));
+  }
+
   void append(String value) {
     records.add(new KeyedRecord("k", Optional.of(value.getBytes(StandardCharsets.UTF_8))));
   }
@@ -60,7 +73,8 @@
   @Override
   public void readLatest(Topic topic, Consumer<ReadResult> callback) {
     newestReads++;
-    loop.execute(() -> respond(callback, Math.max(0, records.size() - 1)));
+    boolean oneKey = records.stream().map(KeyedRecord::key).distinct().count() == 1;
+    loop.execute(() -> respond(callback, oneKey ? records.size() - 1 : 0));
   }
 
   @Override
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/PartitionOwnershipTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/PartitionOwnershipTests.java
@@ -168,6 +168,11 @@
       throw new UnsupportedOperationException();
     }
 
+    @Override
+    public void append(Topic topic, String key, byte[] value, Consumer<Boolean> answer) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public void leave(String group, String member, Runnable done) {
       done.run();
