--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
@@ -6,7 +6,6 @@
 import io.kumquatspindle.api.fleet.RouteSpec;
 import io.kumquatspindle.engine.fleet.Endpoint;
 import io.kumquatspindle.engine.fleet.EndpointTable;
-import io.kumquatspindle.engine.fleet.ResponseTimeEstimator;
 import io.kumquatspindle.node.port.HeaderCodec;
 import io.kumquatspindle.node.relay.UpstreamRequest;
 import io.netty.buffer.ByteBuf;
@@ -29,24 +28,6 @@
   /** Largest response body that is buffered until it is complete, in bytes. */
   private static final int MAX_BUFFERED_BYTES = 256 * 1024;
 
-  /**
-   * Lower bound of the timeout for the first byte, in ms. Several steps of an engine, or one slow
-   * request, take about this long.
-   */
-  private static final long MIN_FIRST_BYTE_TIMEOUT_MS = 300;
-
-  /**
-   * Time without an event after which a stream counts as stalled, as a share of the time after
-   * which clients abandon it. Leaves the other half for the resumption at another endpoint.
-   */
-  private static final double STALLED_CLIENT_TIMEOUTS = 0.5;
-
-  /** Minimum timeout for the first byte of a stream, in multiples of the route's goal. */
-  private static final double STREAM_TIMEOUT_GOALS = 0.6;
-
-  /** Timeout for the first byte of any other response, in multiples of the route's goal. */
-  private static final double FULL_RESPONSE_TIMEOUT_GOALS = 3;
-
   /** Time without a response after which a kept connection counts as silent, in ms. */
   private static final long MIN_CONNECTION_STALL_MS = 1_000;
 
@@ -62,6 +43,7 @@
   private final FullHttpRequest request;
   private final HeaderCodec.Forward forward;
   private final ResponseForwarder forwarder;
+  private final AttemptTimeouts timeouts;
   private final ByteBuf bufferedBody = Unpooled.buffer(0);
   private UpstreamRequest upstream;
   private HttpResponse head;
@@ -89,11 +71,18 @@
     this.request = request;
     this.forward = forward;
     this.forwarder = forwarder;
+    RouteSpec route = exchange.route();
+    this.timeouts =
+        new AttemptTimeouts(
+            route, exchange.head().tokens(), context.responseTimes().of(route.name()));
   }
 
   void start() {
     endpoint.requestStarted();
-    context.node().activeRequests().started(endpoint.id(), exchange.model(), exchange.adapter());
+    context
+        .node()
+        .activeRequests()
+        .started(endpoint.id(), exchange.head().model(), exchange.head().adapter());
     EndpointEntry entry = endpoint.entry();
     FullHttpRequest outbound =
         new DefaultFullHttpRequest(
@@ -109,7 +98,8 @@
     }
     // Only a response with an id can be matched to its request on a kept connection.
     boolean mayReuse =
-        !exchange.id().isEmpty() && (exchange.route().repeatable() || exchange.route().resumable());
+        !exchange.head().id().isEmpty()
+            && (exchange.route().repeatable() || exchange.route().resumable());
     upstream =
         UpstreamRequest.send(
             context.connections(), entry.host(), entry.port(), outbound, mayReuse, this);
@@ -139,7 +129,10 @@
       stallTimer.cancel(false);
     }
     endpoint.requestEnded();
-    context.node().activeRequests().ended(endpoint.id(), exchange.model(), exchange.adapter());
+    context
+        .node()
+        .activeRequests()
+        .ended(endpoint.id(), exchange.head().model(), exchange.head().adapter());
     return true;
   }
 
@@ -155,28 +148,7 @@
     exchange.onSent();
     sentMs = context.node().now();
     lastProgressMs = sentMs;
-    scheduleStallCheck(firstByteTimeoutMs());
-  }
-
-  private long firstByteTimeoutMs() {
-    RouteSpec route = exchange.route();
-    if (route.kind() != CallKind.STREAM) {
-      return Math.max(
-          MIN_FIRST_BYTE_TIMEOUT_MS,
-          Math.round(FULL_RESPONSE_TIMEOUT_GOALS * route.latencyTargetMs()));
-    }
-    long min =
-        Math.max(
-            MIN_FIRST_BYTE_TIMEOUT_MS, Math.round(STREAM_TIMEOUT_GOALS * route.latencyTargetMs()));
-    return responseTimes().timeoutMs(exchange.tokens(), min, Math.max(min, stalledStreamMs()));
-  }
-
-  private ResponseTimeEstimator responseTimes() {
-    return context.responseTimes().of(exchange.route().name());
-  }
-
-  private long stalledStreamMs() {
-    return Math.round(STALLED_CLIENT_TIMEOUTS * exchange.route().clientTimeoutMs());
+    scheduleStallCheck(timeouts.firstByteMs());
   }
 
   private AttemptProgress progress() {
@@ -186,7 +158,7 @@
   }
 
   private long stallTimeoutMs() {
-    return head == null ? firstByteTimeoutMs() : stalledStreamMs();
+    return head == null ? timeouts.firstByteMs() : timeouts.stalledStreamMs();
   }
 
   /** Schedules a check whether the endpoint has made progress in the meantime. */
@@ -201,7 +173,7 @@
   private boolean connectionStalled(long stalledMs) {
     return head == null
         && upstream.onKeptConnection()
-        && stalledMs >= Math.max(firstByteTimeoutMs(), MIN_CONNECTION_STALL_MS);
+        && stalledMs >= Math.max(timeouts.firstByteMs(), MIN_CONNECTION_STALL_MS);
   }
 
   private void checkStall() {
@@ -221,11 +193,11 @@
     if (!stallRecorded) {
       stallRecorded = true;
       if (head == null) {
-        responseTimes().record(exchange.tokens(), stalledMs);
+        timeouts.responseTimes().record(exchange.head().tokens(), stalledMs);
       }
       exchange.log().stalled(endpoint, stalledMs);
     }
-    if (connectionStalled(stalledMs) && exchange.takeRetry("connection_stalled")) {
+    if (connectionStalled(stalledMs) && exchange.mayReplaceConnection()) {
       finish();
       upstream.cancel();
       // Connections to an endpoint stall together.
@@ -244,7 +216,8 @@
   public boolean onHead(HttpResponse response, boolean keptConnection) {
     ResponseHead info = context.headerCodec().decodeResponse(response);
     // On a kept connection, a response without id may be a late copy of an earlier one.
-    boolean own = info.requestId().map(id -> id.equals(exchange.id())).orElse(!keptConnection);
+    boolean own =
+        info.requestId().map(id -> id.equals(exchange.head().id())).orElse(!keptConnection);
     if (!own && keptConnection) {
       exchange.log().foreignResponse(endpoint, info.requestId().orElse(""));
       return false;
@@ -265,7 +238,7 @@
     }
     if (success) {
       // Refusals come at once and tell nothing of the work.
-      responseTimes().record(exchange.tokens(), lastProgressMs - sentMs);
+      timeouts.responseTimes().record(exchange.head().tokens(), lastProgressMs - sentMs);
     }
     head = response;
     headMs = lastProgressMs;
@@ -329,7 +302,7 @@
     boolean provenBefore = eventCount >= SOUND_EVENTS;
     eventCount += count;
     if (!provenBefore && eventCount >= SOUND_EVENTS) {
-      exchange.onSoundResponse();
+      context.promptGuard().onSound(exchange.head().sharedParts());
     }
   }
 
@@ -370,7 +343,7 @@
       return;
     }
     if (head.status().codeClass() == HttpStatusClass.SUCCESS && framed(head)) {
-      exchange.onSoundResponse();
+      context.promptGuard().onSound(exchange.head().sharedParts());
     }
     if (streaming || large) {
       forwarder.endStream();
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointCandidates.java
@@ -0,0 +1,69 @@
+package io.kumquatspindle.node.front;
+
+import io.kumquatspindle.api.fleet.RequestHead;
+import io.kumquatspindle.api.fleet.RouteSpec;
+import io.kumquatspindle.engine.fleet.Endpoint;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/** The service that handles one request, and the endpoints of it that can serve the request. */
+final class EndpointCandidates {
+  private final FrontContext context;
+  private final RequestHead head;
+  private String service = "";
+
+  EndpointCandidates(FrontContext context, RequestHead head) {
+    this.context = context;
+    this.head = head;
+  }
+
+  /** Returns the name of the service. */
+  String service() {
+    return service;
+  }
+
+  /** Selects one of the route's services, unless the one selected before is still among them. */
+  void selectService(RouteSpec route) {
+    if (route.targets().stream().noneMatch(t -> t.service().equals(service))) {
+      service = route.selectService(context.random().nextDouble());
+    }
+  }
+
+  /** Returns the endpoints that hold what the request needs and accept requests of this VM. */
+  List<Endpoint> accepting(long now) {
+    List<Endpoint> holders =
+        head.model().isEmpty()
+            ? context.node().endpoints().available(service)
+            : context.node().endpoints().holders(service, head.model(), head.adapter(), now);
+    boolean anyRefuses = holders.stream().anyMatch(e -> e.refuses(now));
+    return anyRefuses ? holders.stream().filter(e -> !e.refuses(now)).toList() : holders;
+  }
+
+  /** Selects the best endpoint that has not been tried, if there is one. */
+  Optional<Endpoint> choose(Set<String> triedIds, long now) {
+    return context.selector().choose(accepting(now), triedIds, head.sessionPart(), now);
+  }
+
+  /** Returns whether there is a usable endpoint that has not been tried. */
+  boolean hasUntried(Set<String> triedIds, Predicate<Endpoint> usable) {
+    return accepting(context.node().now()).stream()
+        .anyMatch(e -> !triedIds.contains(e.id()) && usable.test(e));
+  }
+
+  /** Returns whether the request needs a model of a known service, which could be loaded. */
+  boolean needsModel() {
+    return !head.model().isEmpty()
+        && context.node().configuration().flatMap(c -> c.service(service)).isPresent();
+  }
+
+  /** Returns when an endpoint that asked for a pause accepts requests again, in ms. */
+  long retryAfterMs(long now) {
+    return context.node().endpoints().available(service).stream()
+        .filter(e -> e.refuses(now))
+        .mapToLong(e -> e.refusesForMs(now))
+        .min()
+        .orElse(Exchange.DEFAULT_RETRY_AFTER_MS);
+  }
+}
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -7,12 +7,10 @@
 import io.kumquatspindle.engine.fleet.Endpoint;
 import io.kumquatspindle.node.port.HeaderCodec;
 import io.netty.handler.codec.http.FullHttpRequest;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Predicate;
 
 /**
  * Handles one request of a caller: authorises and charges it, chooses an endpoint, sends it with
@@ -31,7 +29,8 @@
   private final long arrivedMs;
   private final AttemptHistory history = new AttemptHistory();
   private RequestHead head;
-  private String service = "";
+  private EndpointCandidates candidates;
+  private RetryRules retries;
   private long deadlineMs;
   private Optional<EndpointAttempt> attempt = Optional.empty();
   private ScheduledFuture<?> timer;
@@ -73,8 +72,10 @@
       fail(ErrorKind.OVER_RATE, admission.retryAfterMs(head), admission.describeRate(head));
       return;
     }
-    service = route().selectService(context.random().nextDouble());
-    context.retryBudgets().recordRequest(service);
+    candidates = new EndpointCandidates(context, head);
+    candidates.selectService(route());
+    retries = new RetryRules(context, head, forwarder, history, candidates);
+    context.retryBudgets().recordRequest(candidates.service());
     if (!head.model().isEmpty()) {
       context.node().demand().addRequests(head.model(), 1, arrivedMs);
       context.quotas().recordModelUse(head.model());
@@ -126,9 +127,7 @@
       fail(denied.get(), DEFAULT_RETRY_AFTER_MS, "configuration changed while waiting");
       return;
     }
-    if (route().targets().stream().noneMatch(t -> t.service().equals(service))) {
-      service = route().selectService(context.random().nextDouble());
-    }
+    candidates.selectService(route());
     if (rejectIfQuarantined()) {
       return;
     }
@@ -137,43 +136,20 @@
       fail(ErrorKind.DEADLINE_TOO_SHORT, DEFAULT_RETRY_AFTER_MS, "");
       return;
     }
-    List<Endpoint> candidates = candidates(now);
-    Optional<Endpoint> next =
-        context.selector().choose(candidates, history.tried(), head.sessionPart(), now);
+    Optional<Endpoint> next = candidates.choose(history.tried(), now);
     if (next.isPresent()) {
       send(next.get(), now);
-    } else if (needsModel()) {
+    } else if (candidates.needsModel()) {
       long goalMs = arrivedMs + route().latencyTargetMs();
-      ModelWait wait = ModelWait.start(context, head, service, goalMs, waitDeadlineMs(), this);
+      ModelWait wait =
+          ModelWait.start(context, head, candidates.service(), goalMs, waitDeadlineMs(), this);
       modelWait = finished || attempt.isPresent() ? Optional.empty() : Optional.of(wait);
     } else {
-      fail(ErrorKind.NO_ENDPOINT, retryAfterMs(now), "candidates " + candidates.size());
+      int accepting = candidates.accepting(now).size();
+      fail(ErrorKind.NO_ENDPOINT, candidates.retryAfterMs(now), "candidates " + accepting);
     }
   }
 
-  /** Returns when an endpoint that asked for a pause accepts requests again, in ms. */
-  private long retryAfterMs(long now) {
-    return context.node().endpoints().available(service).stream()
-        .filter(e -> e.refuses(now))
-        .mapToLong(e -> e.refusesForMs(now))
-        .min()
-        .orElse(DEFAULT_RETRY_AFTER_MS);
-  }
-
-  private boolean needsModel() {
-    return !head.model().isEmpty()
-        && context.node().configuration().flatMap(c -> c.service(service)).isPresent();
-  }
-
-  private List<Endpoint> candidates(long now) {
-    List<Endpoint> holders =
-        head.model().isEmpty()
-            ? context.node().endpoints().available(service)
-            : context.node().endpoints().holders(service, head.model(), head.adapter(), now);
-    boolean anyRefuses = holders.stream().anyMatch(e -> e.refuses(now));
-    return anyRefuses ? holders.stream().filter(e -> !e.refuses(now)).toList() : holders;
-  }
-
   private void send(Endpoint endpoint, long now) {
     history.started(endpoint.id());
     Optional<String> resumeAfter =
@@ -222,7 +198,7 @@
     } else {
       endpoint.avoidUntil(now + OVERLOAD_AVOID_MS);
     }
-    if (takeRetry("not_run")) {
+    if (retries.take("not_run")) {
       dispatch();
     } else {
       fail(ErrorKind.ENDPOINT_REFUSED, DEFAULT_RETRY_AFTER_MS, "endpoint status " + status);
@@ -242,14 +218,9 @@
     onFailed(endpoint, reason, progress);
   }
 
-  /** Called when a response has come far enough to prove that the prompt crashes no endpoint. */
-  void onSoundResponse() {
-    context.promptGuard().onSound(head.sharedParts());
-  }
-
   /** Called when there is no usable response although the request may have run. */
   void onFailed(Endpoint endpoint, String reason, AttemptProgress progress) {
-    boolean retry = mayRetry() && takeRetry("broken");
+    boolean retry = retries.takeForBroken(route());
     recordFailure(endpoint, reason, progress);
     if (retry) {
       forwarder.discardPartialEvent();
@@ -268,7 +239,7 @@
 
   /** Called when a kept connection was closed before the response; sends the request again. */
   void onConnectionLost(Endpoint endpoint, AttemptProgress progress) {
-    if (takeRetry("connection_lost")) {
+    if (retries.take("connection_lost")) {
       resend(endpoint);
     } else {
       recordFailure(endpoint, "kept connection lost", progress);
@@ -284,39 +255,18 @@
     dispatch();
   }
 
-  /** Takes a retry from the budget of the service, if one is left. */
-  boolean takeRetry(String reason) {
-    boolean allowed = context.retryBudgets().tryRetry(service);
-    if (allowed) {
-      context.metrics().recordRetry(reason);
-    }
-    return allowed;
+  /** Takes a retry for a request on a kept connection that has gone silent, if one is left. */
+  boolean mayReplaceConnection() {
+    return retries.take("connection_stalled");
   }
 
   ExchangeLog log() {
     return log;
   }
 
-  /** Returns whether the request may be sent to another endpoint although it may have run. */
-  private boolean mayRetry() {
-    return (!forwarder.started() || route().resumable())
-        && history.mayRetry(route())
-        && !context.promptGuard().suspects(head.sharedParts());
-  }
-
-  /**
-   * Returns whether a stalled attempt is to be replaced by one at another endpoint, and takes the
-   * retry from the budget. Without another endpoint or a retry left, the attempt goes on: it may be
-   * slow but sound.
-   */
+  /** Returns whether a stalled attempt is to be replaced by one at another endpoint. */
   boolean mayReplaceStalled() {
-    long now = context.node().now();
-    return mayRetry() && hasUntried(e -> !e.avoided(now)) && takeRetry("stalled");
-  }
-
-  private boolean hasUntried(Predicate<Endpoint> usable) {
-    return candidates(context.node().now()).stream()
-        .anyMatch(e -> !history.tried().contains(e.id()) && usable.test(e));
+    return retries.takeForStalled(route());
   }
 
   /** Sends the request to another endpoint after {@link #mayReplaceStalled}. */
@@ -328,8 +278,7 @@
 
   /** Retries a request that the endpoint answered with a failure; returns false if not allowed. */
   boolean retryElsewhere(Endpoint endpoint) {
-    boolean allowed = route().repeatable() && history.mayRetry(route());
-    if (!allowed || !hasUntried(e -> true) || !takeRetry("failure_answered")) {
+    if (!retries.takeForFailure(route())) {
       return false;
     }
     attempt = Optional.empty();
@@ -422,24 +371,8 @@
     return admission.route();
   }
 
-  String id() {
-    return head.id();
-  }
-
-  String model() {
-    return head.model();
-  }
-
-  long tokens() {
-    return head.tokens();
-  }
-
-  String adapter() {
-    return head.adapter();
-  }
-
-  List<String> sharedParts() {
-    return head.sharedParts();
+  RequestHead head() {
+    return head;
   }
 
   /** Returns when to reject the request, shortly before the caller disconnects by itself. */
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/PromptGuard.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/PromptGuard.java
@@ -40,7 +40,7 @@
 
   /** Notifies a request until {@link #unwatch} when one of its parts is quarantined. */
   void watch(Exchange exchange) {
-    if (!exchange.sharedParts().isEmpty()) {
+    if (!exchange.head().sharedParts().isEmpty()) {
       watched.add(exchange);
     }
   }
@@ -91,7 +91,7 @@
     node.log().line("prompt_quarantined").field("parts", String.join(",", parts)).write();
     node.metrics().counter("prompts_quarantined_total").inc();
     Set.copyOf(watched).stream()
-        .filter(e -> e.sharedParts().containsAll(parts))
+        .filter(e -> e.head().sharedParts().containsAll(parts))
         .forEach(Exchange::onPromptQuarantined);
   }
 
