Vouch for sound parts only where a peer could quarantine them

Cause: a VM told all peers for 10 s of each sound part that any of them suspected, after a single crash too. With 95 VMs and a failure domain that loses power, that is about 100 KB/s for each VM (estimated, not measured). Change: it does so from the second crash on, for at most 64 parts. PromptQuarantineTests.sound, PromptQuarantineFleetTests pass.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PromptQuarantine.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PromptQuarantine.java
@@ -52,8 +52,11 @@
   /** Maximum number of crashes that are remembered. */
   static final int MAX_CRASHES = 256;
 
+  /** Maximum number of parts that peers are told to be sound; about 1 KB in each digest. */
+  static final int MAX_VOUCHED_PARTS = 64;
+
   private final Map<String, Long> soundUntilMs = new LruMap<>(MAX_SOUND_PARTS);
-  private final Map<String, Long> vouchUntilMs = new HashMap<>();
+  private final Map<String, Long> vouchUntilMs = new LruMap<>(MAX_VOUCHED_PARTS);
   private final Map<String, Crash> crashes = new LruMap<>(MAX_CRASHES);
 
   /** End of the quarantine by the parts that a request must contain, in ms. */
@@ -101,10 +104,19 @@
 
   private static final class Crash {
     private final Set<String> suspects = new HashSet<>();
+
+    /** Parts that are sound, although a VM has suspected them. */
+    private final Set<String> acquitted = new HashSet<>();
+
     private long untilMs;
 
     private boolean isValid(long now) {
-      return now < untilMs && !suspects.isEmpty();
+      return now < untilMs;
+    }
+
+    /** Acquits a part, and returns whether it was a suspect. */
+    private boolean acquit(String part) {
+      return suspects.remove(part) && acquitted.add(part);
     }
   }
 
@@ -127,7 +139,7 @@
     boolean suspected = false;
     for (String part : parts) {
       if (acquit(part)) {
-        vouch(part, now);
+        vouchIfNeeded(part, now);
         suspected = true;
       }
       soundUntilMs.put(part, now + SOUND_MS);
@@ -141,7 +153,7 @@
   private boolean acquit(String part) {
     boolean suspected = false;
     for (Crash c : crashes.values()) {
-      suspected |= c.suspects.remove(part);
+      suspected |= c.acquit(part);
     }
     return suspected;
   }
@@ -151,9 +163,13 @@
     return until != null && now < until;
   }
 
-  private void vouch(String part, long now) {
-    vouchUntilMs.values().removeIf(until -> now >= until);
-    vouchUntilMs.put(part, now + VOUCH_MS);
+  /** Vouches for a sound part that occurs in enough crashes for a peer to quarantine it. */
+  private void vouchIfNeeded(String part, long now) {
+    long suspectedIn =
+        crashes.values().stream().filter(c -> c.isValid(now) && c.acquitted.contains(part)).count();
+    if (suspectedIn >= CRASHES_LIMIT) {
+      vouchUntilMs.put(part, now + VOUCH_MS);
+    }
   }
 
   /**
@@ -183,23 +199,18 @@
 
   /** Adds to the evidence, and returns whether it has changed. */
   private boolean addSuspects(String crash, Collection<String> parts, long untilMs, long now) {
-    Set<String> suspects = new HashSet<>();
+    Crash c = crashes.computeIfAbsent(crash, k -> new Crash());
+    c.untilMs = Math.max(c.untilMs, untilMs);
+    boolean changed = false;
     for (String part : parts) {
       if (isSound(part, now)) {
-        vouch(part, now);
+        c.acquitted.add(part);
+        vouchIfNeeded(part, now);
       } else {
-        suspects.add(part);
+        changed |= c.suspects.add(part);
       }
     }
-    if (suspects.isEmpty()) {
-      return false;
-    }
-    Crash c = crashes.computeIfAbsent(crash, k -> new Crash());
-    if (now >= c.untilMs) {
-      c.suspects.clear();
-    }
-    c.untilMs = Math.max(c.untilMs, untilMs);
-    return c.suspects.addAll(suspects);
+    return changed;
   }
 
   /**
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PromptQuarantineTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PromptQuarantineTests.java
@@ -54,6 +54,8 @@
   @DisplayName("that any response has proved sound is not suspected, whatever breaks")
   void sound() {
     quarantine.recordSound(List.of(COMMON), NOW);
+    quarantine.recordCrash("e0/0", List.of(COMMON), NOW);
+    assertEquals(Set.of(), quarantine.vouched(NOW), "no peer rejects it after one crash");
     for (int i = 0; i < 10; i++) {
       quarantine.recordCrash("e" + i + "/1", List.of(COMMON), NOW + i);
     }
