Drop requests whose callers left before they were read

Cause: a read that brings a request does not look for the end of the connection behind it, which the VM saw only in a later round of its busy loop. Change: callers' connections are read to the end of what has arrived, and a request starts after that, if its caller is still there.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/CallerConnectionHandler.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/CallerConnectionHandler.java
@@ -26,6 +26,7 @@
   private final NodeContext node;
   private final ExchangeFactory exchanges;
   private final ArrayDeque<FullHttpRequest> pipelined = new ArrayDeque<>();
+  private FullHttpRequest next;
   private Exchange current;
   private long lastActivityMs;
   private boolean unused = true;
@@ -38,7 +39,7 @@
 
   /** Returns whether a request is being handled or queued. */
   boolean busy() {
-    return current != null || !pipelined.isEmpty();
+    return current != null || next != null || !pipelined.isEmpty();
   }
 
   /** Returns whether no request is being handled and none has arrived or ended for the time. */
@@ -77,7 +78,7 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    if (current != null) {
+    if (current != null || next != null) {
       pipelined.addLast(request);
       ctx.channel().config().setAutoRead(pipelined.size() < MAX_PIPELINED_REQUESTS);
       return;
@@ -96,6 +97,19 @@
               : HttpResponseStatus.BAD_REQUEST);
       return;
     }
+    next = request;
+    // The caller may have left while its request waited to be read. Whether it has is known when
+    // the
+    // connection has been read to its end.
+    ctx.channel().eventLoop().execute(() -> startNext(ctx));
+  }
+
+  private void startNext(ChannelHandlerContext ctx) {
+    if (next == null || !ctx.channel().isActive()) {
+      return;
+    }
+    FullHttpRequest request = next;
+    next = null;
     boolean close = node.stopping() || !HttpUtil.isKeepAlive(request);
     CallerResponseWriter writer =
         new CallerResponseWriter(ctx.channel(), close, () -> onResponseEnd(ctx));
@@ -126,10 +140,10 @@
   private void onResponseEnd(ChannelHandlerContext ctx) {
     current = null;
     recordActivity();
-    FullHttpRequest next = pipelined.pollFirst();
+    FullHttpRequest following = pipelined.pollFirst();
     ctx.channel().config().setAutoRead(true);
-    if (next != null) {
-      begin(ctx, next);
+    if (following != null) {
+      begin(ctx, following);
     }
   }
 
@@ -142,6 +156,8 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    ReferenceCountUtil.release(next);
+    next = null;
     pipelined.forEach(ReferenceCountUtil::release);
     pipelined.clear();
     if (current != null) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServer.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServer.java
@@ -4,6 +4,7 @@
 import io.kumquatspindle.api.fleet.FleetConfiguration;
 import io.kumquatspindle.node.NodeContext;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -21,6 +22,9 @@
   /** Maximum number of connections that wait to be accepted. */
   private static final int BACKLOG = 512;
 
+  /** Maximum number of reads from a connection before other connections have their turn. */
+  private static final int MAX_READS_PER_EVENT = 16;
+
   /** Idle time before a connection is closed at shutdown, in ms; a request may be in transit. */
   private static final long MIN_IDLE_BEFORE_CLOSE_MS = 300;
 
@@ -57,6 +61,12 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            // Reads to the end of what has arrived, to see at once that a caller has left.
+            .childOption(
+                ChannelOption.RCVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator()
+                    .respectMaybeMoreData(false)
+                    .maxMessagesPerRead(MAX_READS_PER_EVENT))
             .childHandler(new PipelineInitializer())
             .bind(node.settings().ip(), node.settings().callerPort())
             .sync()
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/TestNodes.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/TestNodes.java
@@ -53,13 +53,30 @@
   public static NodeContext of(
       AtomicLong now, EventLoop loop, OutputStream output, String... domains) {
     return new NodeContext(
-        settings(List.of(domains)),
+        settings("10.0.0.1", 1, List.of(domains)),
         loop,
         now::get,
         new EventLog(output, now::get, "vm", new Counter()),
         new MetricRegistry());
   }
 
+  /**
+   * Returns the context of a VM that accepts callers on the loopback address.
+   *
+   * @param now value of the clock, in ms
+   * @param loop event loop
+   * @param callerPort port for callers
+   * @return the context
+   */
+  public static NodeContext listening(AtomicLong now, EventLoop loop, int callerPort) {
+    return new NodeContext(
+        settings("127.0.0.1", callerPort, List.of("west")),
+        loop,
+        now::get,
+        new EventLog(OutputStream.nullOutputStream(), now::get, "vm", new Counter()),
+        new MetricRegistry());
+  }
+
   /**
    * Returns a customer whose rate limit counts tokens.
    *
@@ -72,14 +89,14 @@
     return new CustomerInfo(name, Set.of(), OptionalInt.empty(), true, 0, ratePerS, burst);
   }
 
-  private static NodeSettings settings(List<String> domains) {
+  private static NodeSettings settings(String ip, int callerPort, List<String> domains) {
     return new NodeSettings(
         "vm",
-        "10.0.0.1",
+        ip,
         domains.get(0),
         domains,
         true,
-        1,
+        callerPort,
         2,
         7600,
         0,
