Do not send a request whose caller left while its connection was opened

Change: the request is sent after all events of that round, if the caller's connection is still open. A connection that the endpoint closes before that counts as not sent, which is true. UpstreamRequestTests; on the code before, callerLeftMeanwhile has no answer to the question and the request is sent.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/CallerResponseWriter.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/CallerResponseWriter.java
@@ -43,6 +43,10 @@
     return started;
   }
 
+  boolean isOpen() {
+    return channel.isActive();
+  }
+
   boolean isWritable() {
     return channel.isWritable();
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
@@ -143,6 +143,11 @@
     }
   }
 
+  @Override
+  public boolean isWanted() {
+    return forwarder.callerPresent();
+  }
+
   @Override
   public void onSent() {
     exchange.onSent();
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/ResponseForwarder.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/ResponseForwarder.java
@@ -40,6 +40,11 @@
     return firstByteMs == 0 ? context.node().now() : firstByteMs;
   }
 
+  /** Returns whether the caller's connection is open. */
+  boolean callerPresent() {
+    return caller.isOpen();
+  }
+
   boolean isWritable() {
     return caller.isWritable();
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/UpstreamRequest.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/UpstreamRequest.java
@@ -14,9 +14,16 @@
 
   /** Receives the events of the request. All calls are made on the event loop. */
   public interface Listener {
-    /** The connect failed: the request has not been sent and will not be. */
+    /** The connection could not be opened: the request has not been sent and will not be. */
     void onNotSent();
 
+    /**
+     * Returns whether the request is still to be sent, now that its connection is open.
+     *
+     * @return false if it would run in vain; no further events follow then
+     */
+    boolean isWanted();
+
     /** The request is being sent, and may run from now on. */
     void onSent();
 
@@ -101,11 +108,12 @@
   }
 
   private void onConnectCompleted(boolean success, FullHttpRequest request) {
-    if (finished) {
+    if (success) {
+      // Events that have arrived with the completion come first: the caller may have left.
+      connection.channel().eventLoop().execute(() -> startIfWanted(request));
+    } else if (finished) {
       request.release();
       connection.close();
-    } else if (success) {
-      start(request);
     } else {
       request.release();
       finished = true;
@@ -113,6 +121,20 @@
     }
   }
 
+  private void startIfWanted(FullHttpRequest request) {
+    if (!finished && listener.isWanted() && connection.channel().isActive()) {
+      start(request);
+      return;
+    }
+    boolean closedByEndpoint = !finished && listener.isWanted();
+    finished = true;
+    request.release();
+    connection.close();
+    if (closedByEndpoint) {
+      listener.onNotSent();
+    }
+  }
+
   private void start(FullHttpRequest request) {
     listener.onSent();
     connection.send(this, request);
--- /dev/null
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/UpstreamRequestTests.java
@@ -0,0 +1,156 @@
+package io.kumquatspindle.node.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("A request to an endpoint")
+class UpstreamRequestTests {
+  private static final int TIMEOUT_MS = 5_000;
+
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final EventLoop loop = group.next();
+  private final EndpointConnections connections =
+      new EndpointConnections(loop, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+  private ServerSocket endpoint;
+
+  @BeforeEach
+  void start() throws IOException {
+    endpoint = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+    endpoint.setSoTimeout(TIMEOUT_MS);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    endpoint.close();
+    group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+  }
+
+  /** Records the names of events. */
+  private static final class Recorder implements UpstreamRequest.Listener {
+    private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+    private final boolean wanted;
+
+    private Recorder(boolean wanted) {
+      this.wanted = wanted;
+    }
+
+    private String next() throws InterruptedException {
+      return String.valueOf(events.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS));
+    }
+
+    @Override
+    public void onNotSent() {
+      events.add("not sent");
+    }
+
+    @Override
+    public boolean isWanted() {
+      return wanted;
+    }
+
+    @Override
+    public void onSent() {
+      events.add("sent");
+    }
+
+    @Override
+    public boolean onHead(HttpResponse head, boolean keptConnection) {
+      return true;
+    }
+
+    @Override
+    public void onData(io.netty.buffer.ByteBuf data) {}
+
+    @Override
+    public void onComplete() {
+      events.add("complete");
+    }
+
+    @Override
+    public void onConnectionLost() {
+      events.add("lost");
+    }
+
+    @Override
+    public void onBrokenOff(String reason) {
+      events.add("broken off");
+    }
+
+    @Override
+    public void onFailed(String reason) {
+      events.add("failed");
+    }
+  }
+
+  private void send(Recorder listener) {
+    DefaultFullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1, HttpMethod.POST, "/", Unpooled.EMPTY_BUFFER);
+    UpstreamRequest.send(
+        connections, "127.0.0.1", endpoint.getLocalPort(), request, false, listener);
+  }
+
+  @Test
+  @DisplayName("whose caller leaves while the connection is opened is not sent")
+  void callerLeftMeanwhile() throws Exception {
+    Recorder listener = new Recorder(false);
+    loop.execute(() -> send(listener));
+
+    try (Socket s = endpoint.accept()) {
+      s.setSoTimeout(TIMEOUT_MS);
+      assertEquals(-1, s.getInputStream().read());
+    }
+    loop.submit(() -> {}).get();
+    assertEquals(0, listener.events.size());
+  }
+
+  @Test
+  @DisplayName("whose connection is closed before it is sent ends as not sent")
+  void closedBeforeSent() throws Exception {
+    Recorder listener = new Recorder(true);
+    CountDownLatch closed = new CountDownLatch(1);
+    CompletableFuture<Void> opened = new CompletableFuture<>();
+    loop.execute(
+        () -> {
+          send(listener);
+          opened.complete(null);
+          awaitUninterruptibly(closed);
+        });
+    opened.get();
+    Socket s = endpoint.accept();
+    s.setSoLinger(true, 0);
+    s.close();
+    closed.countDown();
+
+    assertEquals("not sent", listener.next());
+    assertEquals(0, listener.events.size());
+  }
+
+  private static void awaitUninterruptibly(CountDownLatch latch) {
+    try {
+      latch.await(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
