--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeerCodecTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeerCodecTests.java
@@ -5,6 +5,7 @@
 
 import io.kumquatspindle.engine.fleet.PromptQuarantine;
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Stream;
@@ -46,6 +47,31 @@
     assertEquals(message, PeerCodec.decode(PeerCodec.encode(message)));
   }
 
+  @Test
+  @DisplayName("reads the digest of an earlier version, which has no evidence of crashes")
+  void earlierVersion() throws IOException {
+    NodeMessage.Digest digest =
+        new NodeMessage.Digest(
+            -7,
+            "10.0.0.1:7600",
+            "west",
+            12,
+            true,
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            4,
+            Set.of(),
+            7,
+            Map.of(),
+            Set.of());
+    byte[] encoded = PeerCodec.encode(digest);
+    byte[] earlier = Arrays.copyOf(encoded, encoded.length - 2);
+
+    assertEquals(digest, PeerCodec.decode(earlier));
+  }
+
   @Test
   @DisplayName("rejects an unknown kind of message")
   void unknownKind() {
