Count the time that control takes against a caller's limit

Cause: while control does not respond, each request for tokens takes up to 290 ms, but only the pauses of 100 ms between them counted against the limit of the wait, so that callers were held past their deadline. Change: the limit is a point in time. The two shorter caps still count pauses only, as they did; requests within the rate need that during a failover. TokenAccountsTests.limitWithoutResponse: 2,041 ms before with a limit of 1,000 ms; passes now.

--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccounts.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/control/TokenAccounts.java
@@ -75,7 +75,7 @@
   public CompletableFuture<Optional<Long>> acquire(
       CustomerName customer, long tokens, long limitMs) {
     CompletableFuture<Optional<Long>> result = new CompletableFuture<>();
-    tryAcquire(new AcquireRequest(customer, tokens, limitMs, result), 0);
+    tryAcquire(new AcquireRequest(customer, tokens, clock.nowMs() + limitMs, result), 0);
     return result;
   }
 
@@ -89,9 +89,10 @@
   }
 
   private void retryOrReject(AcquireRequest request, long waitedMs, Shortage shortage) {
+    // The limit includes the time for which control has not responded.
     long maxWaitMs =
         Math.min(
-            request.limitMs(),
+            waitedMs + request.untilMs() - clock.nowMs(),
             shortage.noResponse() ? MAX_NO_RESPONSE_WAIT_MS : MAX_SHORTAGE_WAIT_MS);
     // Control sends Long.MAX_VALUE if it does not know a time, so that adding waitedMs would
     // overflow.
@@ -187,5 +188,5 @@
   }
 
   private record AcquireRequest(
-      CustomerName customer, long tokens, long limitMs, CompletableFuture<Optional<Long>> result) {}
+      CustomerName customer, long tokens, long untilMs, CompletableFuture<Optional<Long>> result) {}
 }
--- a/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/control/TokenAccountsTests.java
+++ b/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/control/TokenAccountsTests.java
@@ -1,6 +1,7 @@
 package io.kumquatspindle.entry.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.kumquatspindle.api.message.EntryMessage;
 import io.kumquatspindle.api.message.EntryMessage.TokenGrant;
@@ -17,6 +18,10 @@
 class TokenAccountsTests {
   private static final CustomerName CUSTOMER = CustomerName.of("c");
   private static final long FIRST_RETRY_MS = 20;
+  private static final long LIMIT_MS = 1_000;
+
+  /** Time of one request to control and of delayed timers, in ms. */
+  private static final long MARGIN_MS = 900;
 
   private final ArrayDeque<Long> retries = new ArrayDeque<>();
   private final ControlSession session = new ControlSession(null, null, System::currentTimeMillis);
@@ -42,4 +47,16 @@
 
     assertEquals(Optional.of(TokenAccounts.MAX_RETRY_AFTER_MS), retry);
   }
+
+  @Test
+  @DisplayName("hold a request no longer than its limit while control does not respond")
+  void limitWithoutResponse() throws Exception {
+    session.connected(message -> true);
+    long start = System.nanoTime();
+
+    accounts.acquire(CUSTOMER, 10, LIMIT_MS).get(10, TimeUnit.SECONDS);
+
+    long heldMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+    assertTrue(heldMs <= LIMIT_MS + MARGIN_MS, heldMs + " ms");
+  }
 }
