--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PromptQuarantineFleetTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PromptQuarantineFleetTests.java
@@ -27,7 +27,7 @@
   private static final long RESTART_MS = 3_000;
   private static final long DIGEST_INTERVAL_MS = 200;
   private static final long MESSAGE_MS = 3;
-  private static final long SECOND_RESPONSE_MS = 600;
+  private static final long RESPONSE_MS = 600;
   private static final int COMMON_PARTS = 3;
   private static final int RARE_PARTS = 150;
 
@@ -150,7 +150,7 @@
       if (r.events == 3) {
         vms.get(r.vm).recordSound(r.parts, nowMs);
       }
-      if (r.events * 40 >= SECOND_RESPONSE_MS) {
+      if (r.events * 40 >= RESPONSE_MS) {
         endpoints.get(endpoint).remove(r);
       } else {
         schedule(40, () -> addEvent(endpoint, r));
