--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # Runs the case; with TROUBLE=0 without its disruption. Exit status: 1 broken, 0 held, 2 not run.
 cd "$(dirname "$0")" || exit 2
 root=$(cd ../.. && pwd)
-exec java -Xmx384m -Dreview.root="$root" -cp ../target/classes LongRequests record.txt
+exec java -Xmx384m -Dreview.root="$root" -cp ../target/classes EarlyReset record.txt
