--- a/review/standins/Node.java
+++ b/review/standins/Node.java
@@ -5,8 +5,10 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -16,6 +18,9 @@
 final class Node implements AutoCloseable {
   private static final Path ROOT = Path.of(System.getProperty("review.root"));
 
+  /** Ports that this script has given to a VM. */
+  private static final Set<Integer> TAKEN = new HashSet<>();
+
   final String name;
   final String front;
   final String ready;
@@ -65,9 +70,12 @@
   }
 
   /** Finds a free port below the kernel's ephemeral range. */
-  private static int freePort() throws IOException {
+  private static synchronized int freePort() throws IOException {
     for (int tries = 0; tries < 100; tries++) {
       int port = ThreadLocalRandom.current().nextInt(15_000, 30_000);
+      if (!TAKEN.add(port)) {
+        continue;
+      }
       try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
         return s.getLocalPort();
       } catch (BindException e) {
@@ -102,6 +110,7 @@
     long end = System.currentTimeMillis() + timeoutMs;
     while (readiness(500) != 200) {
       if (!process.isAlive() || System.currentTimeMillis() > end) {
+        System.err.println(Files.readString(log, java.nio.charset.StandardCharsets.ISO_8859_1));
         throw new IOException("the program did not get ready");
       }
       Thread.sleep(50);
