Relay: bytes behind a response do not begin the next one

Cause: the HTTP codec of a connection lives as long as the connection. The part of a head that arrived with the end of a response stayed in its buffer, where neither ResponseHandler (whole messages only) nor IdleBytesHandler (bytes of later reads only) saw it, and the next head was appended to it. The calls to the store and the orders to endpoints had the same fault in PooledHttpClient, without any check of idle bytes.

Each request and each call now has a codec of its own, which is removed at the end of the response. What it has not decoded, and what arrives later, reaches the handler as raw bytes and closes the connection, so that no state can pass from one response to the next. IdleBytesHandler is not needed any more.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EndpointConnection.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EndpointConnection.java
@@ -22,14 +22,16 @@
 
 /**
  * One connection to an endpoint, which carries one request at a time. It is kept for another
- * request only if the response was complete and framed, and nothing followed it. Used on the event
- * loop only.
+ * request only if the response was complete and framed, and nothing followed it. Each request has a
+ * codec of its own, so that no byte can be left in a decoder and become part of the next response.
+ * Used on the event loop only.
  */
 final class EndpointConnection {
   private static final int MAX_INITIAL_LINE_BYTES = 8_192;
   private static final int MAX_HEADER_BYTES = 65_536;
   private static final int MAX_CHUNK_BYTES = 16_384;
   private static final long MS_PER_S = 1_000;
+  private static final String CODEC = "codec";
   private static final Pattern KEEP_ALIVE_TIMEOUT =
       Pattern.compile("(?i)(?:^|[ ,])timeout=([0-9]{1,6})(?:$|[ ,])");
 
@@ -72,17 +74,18 @@
   }
 
   void install(Channel ch) {
-    ch.pipeline()
-        .addLast(new IdleBytesHandler())
-        .addLast(
-            new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, true))
-        .addLast(new ResponseHandler());
+    ch.pipeline().addLast(new ResponseHandler());
   }
 
   void send(UpstreamRequest upstream, FullHttpRequest request) {
     current = upstream;
     requestWritten = false;
     keepable = false;
+    channel
+        .pipeline()
+        .addFirst(
+            CODEC,
+            new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, true));
     channel.writeAndFlush(request).addListener(f -> requestWritten = f.isSuccess());
   }
 
@@ -105,20 +108,6 @@
     channel.close();
   }
 
-  /** Closes an idle connection on which bytes arrive: they belong to no request. */
-  private final class IdleBytesHandler extends ChannelInboundHandlerAdapter {
-    @Override
-    public void channelRead(ChannelHandlerContext ctx, Object message) {
-      if (current == null) {
-        ReferenceCountUtil.release(message);
-        keepable = false;
-        ctx.close();
-      } else {
-        ctx.fireChannelRead(message);
-      }
-    }
-  }
-
   private final class ResponseHandler extends ChannelInboundHandlerAdapter {
     private boolean interim;
     private boolean skipping;
@@ -130,7 +119,7 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
       try {
         if (current == null) {
-          // More bytes follow the response in the same segment.
+          // The bytes belong to no request.
           keepable = false;
           ctx.close();
         } else {
@@ -184,6 +173,10 @@
       endpointTimeoutMs = keepAliveTimeoutMs(head.headers().get(HttpHeaderNames.KEEP_ALIVE));
       current = null;
       headReceived = false;
+      if (keepable) {
+        // Passes on the bytes that follow the response, if there are any.
+        channel.pipeline().remove(CODEC);
+      }
       completed.onComplete();
     }
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/PooledHttpClient.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/PooledHttpClient.java
@@ -42,6 +42,10 @@
   /** Largest response, in bytes; a page of the store's latest records is at most 1 MB. */
   private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
+  private static final String CODEC = "codec";
+  private static final String AGGREGATOR = "aggregator";
+  private static final String CALL = "call";
+
   private final EventLoop loop;
   private final Map<String, ArrayDeque<Channel>> idleConnections = new HashMap<>();
 
@@ -147,10 +151,7 @@
     @Override
     protected void initChannel(Channel ch) {
       ResponseHandler responses = new ResponseHandler();
-      ch.pipeline().addLast(new ProgressHandler(responses));
-      ch.pipeline().addLast(new HttpClientCodec());
-      ch.pipeline().addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES));
-      ch.pipeline().addLast("call", responses);
+      ch.pipeline().addLast(new ProgressHandler(responses)).addLast(CALL, responses);
     }
   }
 
@@ -171,17 +172,33 @@
     }
   }
 
-  private static final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+  /**
+   * Passes the response to its call. Each call has a codec of its own, so that no byte can be left
+   * in a decoder and become part of the next response.
+   */
+  private static final class ResponseHandler extends SimpleChannelInboundHandler<Object> {
     private Call call;
 
+    private void begin(Channel ch, Call started) {
+      call = started;
+      ch.pipeline()
+          .addBefore(CALL, CODEC, new HttpClientCodec())
+          .addBefore(CALL, AGGREGATOR, new HttpObjectAggregator(MAX_RESPONSE_BYTES));
+    }
+
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-      if (call == null || response.decoderResult().isFailure()) {
+    protected void channelRead0(ChannelHandlerContext ctx, Object message) {
+      if (call == null
+          || !(message instanceof FullHttpResponse response)
+          || response.decoderResult().isFailure()) {
         ctx.close();
         return;
       }
       Call completed = call;
       call = null;
+      ctx.pipeline().remove(AGGREGATOR);
+      // Passes on the bytes that follow the response, if there are any.
+      ctx.pipeline().remove(CODEC);
       completed.complete(ctx.channel(), response);
     }
 
@@ -242,12 +259,12 @@
 
     private void start(Channel c, FullHttpRequest request) {
       channel = c;
-      ((ResponseHandler) c.pipeline().get("call")).call = this;
+      ((ResponseHandler) c.pipeline().get(CALL)).begin(c, this);
       c.writeAndFlush(request);
     }
 
     private void complete(Channel c, FullHttpResponse response) {
-      if (keepAlive && HttpUtil.isKeepAlive(response)) {
+      if (keepAlive && HttpUtil.isKeepAlive(response) && c.isActive()) {
         idleConnections.computeIfAbsent(address, a -> new ArrayDeque<>()).addFirst(c);
       } else {
         c.close();
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/PooledHttpClientTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/PooledHttpClientTests.java
@@ -87,6 +87,17 @@
     assertInstanceOf(PooledHttpClient.Result.Completed.class, call().get(5, TimeUnit.SECONDS));
   }
 
+  @Test
+  @DisplayName("does not take bytes behind a response for the beginning of the next response")
+  void discardsBytesAfterResponse() throws Exception {
+    server.trailing = "HTTP/1.1 404 Not Found\r\nServer: ";
+    assertInstanceOf(PooledHttpClient.Result.Completed.class, call().get(5, TimeUnit.SECONDS));
+    server.trailing = "";
+
+    PooledHttpClient.Result second = call().get(5, TimeUnit.SECONDS);
+    assertEquals(200, assertInstanceOf(PooledHttpClient.Result.Completed.class, second).status());
+  }
+
   /** HTTP server that answers each request, except on connections that have been stalled. */
   private static final class StallingServer implements AutoCloseable {
     private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -95,6 +106,9 @@
     /** Pause before each piece of a response, in ms. */
     private volatile long pauseMs;
 
+    /** Bytes behind each response. */
+    private volatile String trailing = "";
+
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final Set<Socket> stalled = ConcurrentHashMap.newKeySet();
 
@@ -144,7 +158,7 @@
       out.write(bytes("HTTP/1.1 200 OK\r\nContent-Length: " + PIECES + "\r\n\r\n"));
       for (int i = 0; i < PIECES; i++) {
         LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(pauseMs));
-        out.write(bytes("x"));
+        out.write(bytes(i == PIECES - 1 ? "x" + trailing : "x"));
       }
     }
 
