Relay: part of a head before an answer does not become part of it

Cause: on a kept connection nothing told a head apart from two heads that have run into each other. A status line within a reason phrase, a header name or a value is the proof; such a head is now given up like any answer that cannot be parsed. On a kept connection both are taken for a lost connection, so that the request is sent again instead of being answered 502: the bytes may have followed the answer before. PooledHttpClient fails the call.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EndpointConnection.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EndpointConnection.java
@@ -132,10 +132,14 @@
 
     private void handle(HttpObject object) {
       if (object.decoderResult().isFailure()) {
-        fail(u -> u.onFailed("malformed HTTP response"));
+        onMalformed();
         return;
       }
       if (object instanceof HttpResponse response) {
+        if (reused && ResponseHeads.isMerged(response)) {
+          onMalformed();
+          return;
+        }
         onHead(response);
       }
       if (object instanceof HttpContent content && !interim && current != null) {
@@ -143,6 +147,14 @@
       }
     }
 
+    /** On a kept connection, the bytes may have followed an earlier response. */
+    private void onMalformed() {
+      fail(
+          reused && !headReceived
+              ? UpstreamRequest::onConnectionLost
+              : u -> u.onFailed("malformed HTTP response"));
+    }
+
     private void onHead(HttpResponse response) {
       interim =
           response.status().codeClass().equals(HttpStatusClass.INFORMATIONAL)
@@ -200,9 +212,7 @@
           connections.closedWhileIdle(EndpointConnection.this);
         }
       } else if (reused && !headReceived) {
-        UpstreamRequest lost = current;
-        current = null;
-        lost.onConnectionLost();
+        fail(UpstreamRequest::onConnectionLost);
       } else {
         fail(u -> u.onBrokenOff("connection closed"));
       }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/PooledHttpClient.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/PooledHttpClient.java
@@ -190,7 +190,8 @@
     protected void channelRead0(ChannelHandlerContext ctx, Object message) {
       if (call == null
           || !(message instanceof FullHttpResponse response)
-          || response.decoderResult().isFailure()) {
+          || response.decoderResult().isFailure()
+          || ResponseHeads.isMerged(response)) {
         ctx.close();
         return;
       }
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/PooledHttpClientTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/PooledHttpClientTests.java
@@ -98,6 +98,14 @@
     assertEquals(200, assertInstanceOf(PooledHttpClient.Result.Completed.class, second).status());
   }
 
+  @Test
+  @DisplayName("does not take part of another response for the beginning of a response")
+  void rejectsMergedHeads() throws Exception {
+    server.leading = "HTTP/1.1 202 Accepted\r\nServer: ";
+
+    assertInstanceOf(PooledHttpClient.Result.Failed.class, call().get(5, TimeUnit.SECONDS));
+  }
+
   /** HTTP server that answers each request, except on connections that have been stalled. */
   private static final class StallingServer implements AutoCloseable {
     private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -106,6 +114,9 @@
     /** Pause before each piece of a response, in ms. */
     private volatile long pauseMs;
 
+    /** Bytes before each response. */
+    private volatile String leading = "";
+
     /** Bytes behind each response. */
     private volatile String trailing = "";
 
@@ -155,7 +166,7 @@
     }
 
     private void respond(OutputStream out) throws IOException {
-      out.write(bytes("HTTP/1.1 200 OK\r\nContent-Length: " + PIECES + "\r\n\r\n"));
+      out.write(bytes(leading + "HTTP/1.1 200 OK\r\nContent-Length: " + PIECES + "\r\n\r\n"));
       for (int i = 0; i < PIECES; i++) {
         LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(pauseMs));
         out.write(bytes(i == PIECES - 1 ? "x" + trailing : "x"));
