Relay: a reset does not complete a response without framing

Cause: Netty's codec ends a response without framing whenever the channel becomes inactive, and nothing told an end of the connection from any other reason for that. A reset that is found by a read raises an exception first; one that is found by a pending write only closes the channel.

The connections of both HTTP clients now allow half closure: the end that the peer sent is an event of its own, on which the codec ends the response while the channel is active. What the codec ends at an inactive channel is no response. Both clients connect in one place, ClientChannels.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EndpointConnection.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EndpointConnection.java
@@ -1,8 +1,10 @@
 package io.kumquatspindle.node.relay;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -73,8 +75,9 @@
     return idleUntilMs;
   }
 
-  void install(Channel ch) {
-    ch.pipeline().addLast(new ResponseHandler());
+  /** Returns the handler of the channel. */
+  ChannelHandler handler() {
+    return new ResponseHandler();
   }
 
   void send(UpstreamRequest upstream, FullHttpRequest request) {
@@ -172,7 +175,11 @@
       if (content.content().isReadable() && !skipping) {
         current.onData(content.content());
       }
-      if (content instanceof LastHttpContent && !skipping && current != null) {
+      // The codec also ends a response without framing when the channel has become inactive.
+      if (content instanceof LastHttpContent
+          && !skipping
+          && current != null
+          && channel.isActive()) {
         onComplete();
       }
     }
@@ -204,6 +211,15 @@
       ctx.fireChannelReadComplete();
     }
 
+    /** Closes the connection that the endpoint has ended; the codec has been told before. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+      if (event instanceof ChannelInputShutdownEvent) {
+        ctx.close();
+      }
+      ctx.fireUserEventTriggered(event);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       if (current == null) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EndpointConnections.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EndpointConnections.java
@@ -1,13 +1,8 @@
 package io.kumquatspindle.node.relay;
 
 import io.kumquatspindle.api.time.MonotonicClock;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
@@ -88,19 +83,7 @@
       String address, String host, int port, Consumer<Optional<EndpointConnection>> done) {
     EndpointConnection connection = new EndpointConnection(this, address);
     ChannelFuture connecting =
-        new Bootstrap()
-            .group(loop)
-            .channel(NioSocketChannel.class)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .handler(
-                new ChannelInitializer<SocketChannel>() {
-                  @Override
-                  protected void initChannel(SocketChannel ch) {
-                    connection.install(ch);
-                  }
-                })
-            .connect(host, port);
+        ClientChannels.connect(loop, host, port, CONNECT_TIMEOUT_MS, connection.handler());
     connection.setChannel(connecting.channel());
     connecting.addListener(
         f -> done.accept(f.isSuccess() ? Optional.of(connection) : Optional.empty()));
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/PooledHttpClient.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/PooledHttpClient.java
@@ -1,16 +1,14 @@
 package io.kumquatspindle.node.relay;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -107,13 +105,7 @@
       return;
     }
     ChannelFuture connecting =
-        new Bootstrap()
-            .group(loop)
-            .channel(NioSocketChannel.class)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .handler(new PipelineInitializer())
-            .connect(host, port);
+        ClientChannels.connect(loop, host, port, CONNECT_TIMEOUT_MS, new PipelineInitializer());
     connecting.addListener(
         f -> {
           if (f.isSuccess() && !call.finished) {
@@ -188,7 +180,9 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Object message) {
+      // The codec also ends a response without framing when the channel has become inactive.
       if (call == null
+          || !ctx.channel().isActive()
           || !(message instanceof FullHttpResponse response)
           || response.decoderResult().isFailure()
           || ResponseHeads.isMerged(response)) {
@@ -203,6 +197,15 @@
       completed.complete(ctx.channel(), response);
     }
 
+    /** Closes the connection that the server has ended; the codec has been told before. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+      if (event instanceof ChannelInputShutdownEvent) {
+        ctx.close();
+      }
+      ctx.fireUserEventTriggered(event);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       failCall("connection closed");
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/PooledHttpClientTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/PooledHttpClientTests.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -12,6 +13,7 @@
 import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -48,6 +50,10 @@
   }
 
   private CompletableFuture<PooledHttpClient.Result> call() {
+    return call(server.port(), 0);
+  }
+
+  private CompletableFuture<PooledHttpClient.Result> call(int port, int bodyBytes) {
     CompletableFuture<PooledHttpClient.Result> result = new CompletableFuture<>();
     group
         .next()
@@ -55,8 +61,12 @@
             () ->
                 client.call(
                     "127.0.0.1",
-                    server.port(),
-                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                    port,
+                    new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        HttpMethod.POST,
+                        "/",
+                        Unpooled.wrappedBuffer(new byte[bodyBytes])),
                     true,
                     TIMEOUT_MS,
                     result::complete));
@@ -106,6 +116,24 @@
     assertInstanceOf(PooledHttpClient.Result.Failed.class, call().get(5, TimeUnit.SECONDS));
   }
 
+  @Test
+  @DisplayName("does not take a response without framing for complete when the connection is reset")
+  void resetWhileWritten() throws Exception {
+    try (ServerSocket listener = new ServerSocket()) {
+      listener.setReceiveBufferSize(65_536);
+      listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      CompletableFuture<PooledHttpClient.Result> call =
+          call(listener.getLocalPort(), 32 * 1024 * 1024);
+      try (Socket s = listener.accept()) {
+        s.getOutputStream()
+            .write("HTTP/1.1 200 OK\r\n\r\npart".getBytes(StandardCharsets.US_ASCII));
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+        s.setSoLinger(true, 0);
+      }
+      assertInstanceOf(PooledHttpClient.Result.Failed.class, call.get(5, TimeUnit.SECONDS));
+    }
+  }
+
   /** HTTP server that answers each request, except on connections that have been stalled. */
   private static final class StallingServer implements AutoCloseable {
     private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/UpstreamRequestTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/UpstreamRequestTests.java
@@ -1,8 +1,10 @@
 package io.kumquatspindle.node.relay;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -27,6 +29,10 @@
 @DisplayName("A request to an endpoint")
 class UpstreamRequestTests {
   private static final int TIMEOUT_MS = 5_000;
+  private static final int RECEIVE_BUFFER_BYTES = 65_536;
+
+  /** More than the kernel buffers for sending, in bytes. */
+  private static final int LONG_BODY_BYTES = 32 * 1024 * 1024;
 
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final EventLoop loop = group.next();
@@ -80,7 +86,9 @@
     }
 
     @Override
-    public void onData(io.netty.buffer.ByteBuf data) {}
+    public void onData(ByteBuf data) {
+      events.add("data");
+    }
 
     @Override
     public void onComplete() {
@@ -104,9 +112,16 @@
   }
 
   private void send(Recorder listener) {
+    send(listener, 0);
+  }
+
+  private void send(Recorder listener, int bodyBytes) {
     DefaultFullHttpRequest request =
         new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1, HttpMethod.POST, "/", Unpooled.EMPTY_BUFFER);
+            HttpVersion.HTTP_1_1,
+            HttpMethod.POST,
+            "/",
+            Unpooled.wrappedBuffer(new byte[bodyBytes]));
     UpstreamRequest.send(
         connections, "127.0.0.1", endpoint.getLocalPort(), request, false, listener);
   }
@@ -148,6 +163,41 @@
     assertEquals(0, listener.events.size());
   }
 
+  /** Guards against part of an answer that reaches its caller as a complete one. */
+  @Test
+  @DisplayName("whose connection is reset while it is written has no complete answer")
+  void resetWhileWritten() throws Exception {
+    Recorder listener = new Recorder(true);
+    endpoint.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+    loop.execute(() -> send(listener, LONG_BODY_BYTES));
+    try (Socket s = endpoint.accept()) {
+      s.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\nfirst half".getBytes(US_ASCII));
+      assertEquals("sent", listener.next());
+      assertEquals("data", listener.next());
+      s.setSoLinger(true, 0);
+    }
+
+    assertEquals("broken off", listener.next());
+    loop.submit(() -> {}).get();
+    assertEquals(0, listener.events.size());
+  }
+
+  @Test
+  @DisplayName(
+      "that is answered before it is written has a complete answer when the endpoint ends it")
+  void endedWhileWritten() throws Exception {
+    Recorder listener = new Recorder(true);
+    endpoint.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+    loop.execute(() -> send(listener, LONG_BODY_BYTES));
+    try (Socket s = endpoint.accept()) {
+      s.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\nall".getBytes(US_ASCII));
+      assertEquals("sent", listener.next());
+      assertEquals("data", listener.next());
+      s.shutdownOutput();
+      assertEquals("complete", listener.next());
+    }
+  }
+
   private static void awaitUninterruptibly(CountDownLatch latch) {
     try {
       latch.await(TIMEOUT_MS, TimeUnit.MILLISECONDS);
