Relay: the end of an event is searched in new bytes only

What was buffered before holds no end of an event, so that only new bytes are searched. EventSplitterTests.searchesNewBytesOnly appends 250,000 single bytes and did not end within 5 s before.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EventSplitter.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EventSplitter.java
@@ -26,8 +26,9 @@
    * @throws IllegalStateException if an event is too large
    */
   public ByteBuf append(ByteBuf data) {
+    int searched = buffer.writerIndex();
     buffer.writeBytes(data);
-    int end = completeLength();
+    int end = completeLength(searched);
     if (buffer.readableBytes() - end > MAX_EVENT_BYTES) {
       throw new IllegalStateException("event of more than " + MAX_EVENT_BYTES + " bytes");
     }
@@ -55,6 +56,15 @@
     return buffer.forEachByte(b -> b == '\n' || b == '\r') >= 0;
   }
 
+  /**
+   * Returns how much is held back.
+   *
+   * @return bytes of the incomplete event
+   */
+  public int partialEventBytes() {
+    return buffer.readableBytes();
+  }
+
   /**
    * Returns the bytes after the last complete event. To be called when the stream has ended.
    *
@@ -82,8 +92,10 @@
     return eventCount;
   }
 
-  private int completeLength() {
-    for (int i = buffer.writerIndex() - 1; i > buffer.readerIndex(); i--) {
+  /** Searches only the bytes after the given index: those before hold no end of an event. */
+  private int completeLength(int searched) {
+    int first = Math.max(searched, buffer.readerIndex() + 1);
+    for (int i = buffer.writerIndex() - 1; i >= first; i--) {
       if (buffer.getByte(i) != '\n') {
         continue;
       }
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/EventSplitterTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/EventSplitterTests.java
@@ -1,16 +1,20 @@
 package io.kumquatspindle.node.relay;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Optional;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 
 @DisplayName("Event splitter")
 class EventSplitterTests {
+  private static final int LARGE_EVENT_BYTES = 250_000;
+
   private final EventSplitter splitter = new EventSplitter();
 
   @Test
@@ -45,6 +49,21 @@
     assertEquals(": bye", splitter.remainder().toString(StandardCharsets.UTF_8));
   }
 
+  /** Guards against one stream that keeps the event loop busy for seconds. */
+  @Test
+  @DisplayName("looks at each byte a bounded number of times, however small the parts are")
+  void searchesNewBytesOnly() {
+    ByteBuf part = Unpooled.copiedBuffer("x", StandardCharsets.UTF_8);
+    assertTimeoutPreemptively(
+        Duration.ofSeconds(5),
+        () -> {
+          for (int i = 0; i < LARGE_EVENT_BYTES; i++) {
+            assertEquals(0, splitter.append(part.duplicate()).readableBytes());
+          }
+        });
+    assertEquals(LARGE_EVENT_BYTES + 2, append("\n\n").length());
+  }
+
   private String append(String text) {
     ByteBuf events = splitter.append(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
     return events.toString(StandardCharsets.UTF_8);
