Relay: small parts of one answer do not keep others from being served

While three answers without end came in chunks of one to sixteen bytes, sound requests at the same VM took 2.1 to 4.3 s; with 64 such answers the VM answered some not within 20 s, and did not end the answers at their deadline (the old code, the new test).

Cause: work is done for each part of a message, on the only event loop, and the number of parts is up to the endpoint. A read took up to 1 MB, some 170,000 chunks of one byte, before any other connection had its turn; each chunk was forwarded with a system call of its own; and nothing slowed down an endpoint that went on.

- A connection to an endpoint or to the store has its turn with at most 16 KB.
- ContentMerger passes on the parts of one read as one, so that what follows works once for each read.
An aggregator behind it no longer consolidates its parts each time 1,024 small ones have come.
- PartAllowance, a decision without I/O, lets 4,000 parts through at once and 2,000 a second for long; PartThrottle does not read while they are used up.
Large parts are not charged, nor is what the link bounds.

EndlessAnswerTests starts the program as a process with the options of the deploy file, and repeats nine kinds of bytes on 3 and on 120 requests at once, while requests to another endpoint are to be answered within their target of 1 s.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/ClientChannels.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/ClientChannels.java
@@ -1,16 +1,40 @@
 package io.kumquatspindle.node.relay;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 
-/** Opens the channels of HTTP clients. */
+/** Channels and codecs of HTTP clients. */
 final class ClientChannels {
+  /** Largest read from a connection before other connections have their turn, in bytes. */
+  private static final int MAX_READ_BYTES = 16 * 1024;
+
+  private static final int MIN_READ_BYTES = 64;
+  private static final int INITIAL_READ_BYTES = 2 * 1024;
+
+  private static final int MAX_INITIAL_LINE_BYTES = 8_192;
+  private static final int MAX_HEADER_BYTES = 65_536;
+  private static final int MAX_CHUNK_BYTES = 16_384;
+
   private ClientChannels() {}
 
+  /** Returns a codec for one request and its response. */
+  static HttpClientCodec newCodec() {
+    return new HttpClientCodec(
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+            .setMaxHeaderSize(MAX_HEADER_BYTES)
+            .setMaxChunkSize(MAX_CHUNK_BYTES),
+        HttpClientCodec.DEFAULT_PARSE_HTTP_AFTER_CONNECT_REQUEST,
+        true);
+  }
+
   /**
    * Connects to a server. The channel reports the server's end of the connection as {@link
    * io.netty.channel.socket.ChannelInputShutdownEvent} and stays open until its handler closes it:
@@ -32,6 +56,10 @@
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+        .option(
+            ChannelOption.RCVBUF_ALLOCATOR,
+            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                .maxMessagesPerRead(1))
         .handler(handler)
         .connect(host, port);
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EndpointConnection.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EndpointConnection.java
@@ -4,9 +4,9 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
@@ -29,9 +29,6 @@
  * Used on the event loop only.
  */
 final class EndpointConnection {
-  private static final int MAX_INITIAL_LINE_BYTES = 8_192;
-  private static final int MAX_HEADER_BYTES = 65_536;
-  private static final int MAX_CHUNK_BYTES = 16_384;
   private static final long MS_PER_S = 1_000;
   private static final String CODEC = "codec";
   private static final Pattern KEEP_ALIVE_TIMEOUT =
@@ -39,6 +36,7 @@
 
   private final EndpointConnections connections;
   private final String address;
+  private final PartThrottle throttle = new PartThrottle();
   private Channel channel;
   private UpstreamRequest current;
   private boolean reused;
@@ -75,20 +73,26 @@
     return idleUntilMs;
   }
 
-  /** Returns the handler of the channel. */
+  /** Returns the handler that sets up the channel. */
   ChannelHandler handler() {
-    return new ResponseHandler();
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(Channel ch) {
+        ch.pipeline().addLast(throttle, new ContentMerger(), new ResponseHandler());
+      }
+    };
+  }
+
+  /** Pauses or resumes reading. */
+  void setReading(boolean enabled) {
+    throttle.setReading(channel, enabled);
   }
 
   void send(UpstreamRequest upstream, FullHttpRequest request) {
     current = upstream;
     requestWritten = false;
     keepable = false;
-    channel
-        .pipeline()
-        .addFirst(
-            CODEC,
-            new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, true));
+    channel.pipeline().addFirst(CODEC, ClientChannels.newCodec());
     channel.writeAndFlush(request).addListener(f -> requestWritten = f.isSuccess());
   }
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/PooledHttpClient.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/PooledHttpClient.java
@@ -11,7 +11,6 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
@@ -42,6 +41,7 @@
 
   private static final String CODEC = "codec";
   private static final String AGGREGATOR = "aggregator";
+  private static final String THROTTLE = "throttle";
   private static final String CALL = "call";
 
   private final EventLoop loop;
@@ -139,16 +139,20 @@
     return channels == null ? null : channels.pollFirst();
   }
 
-  private static final class PipelineInitializer extends ChannelInitializer<Channel> {
+  private final class PipelineInitializer extends ChannelInitializer<Channel> {
     @Override
     protected void initChannel(Channel ch) {
       ResponseHandler responses = new ResponseHandler();
-      ch.pipeline().addLast(new ProgressHandler(responses)).addLast(CALL, responses);
+      ch.pipeline()
+          .addLast(new ProgressHandler(responses))
+          .addLast(THROTTLE, new PartThrottle())
+          .addLast(new ContentMerger())
+          .addLast(CALL, responses);
     }
   }
 
   /** Records the arrival of bytes before they make up a complete response. */
-  private static final class ProgressHandler extends ChannelInboundHandlerAdapter {
+  private final class ProgressHandler extends ChannelInboundHandlerAdapter {
     private final ResponseHandler responses;
 
     private ProgressHandler(ResponseHandler responses) {
@@ -168,13 +172,13 @@
    * Passes the response to its call. Each call has a codec of its own, so that no byte can be left
    * in a decoder and become part of the next response.
    */
-  private static final class ResponseHandler extends SimpleChannelInboundHandler<Object> {
+  private final class ResponseHandler extends SimpleChannelInboundHandler<Object> {
     private Call call;
 
     private void begin(Channel ch, Call started) {
       call = started;
       ch.pipeline()
-          .addBefore(CALL, CODEC, new HttpClientCodec())
+          .addBefore(THROTTLE, CODEC, ClientChannels.newCodec())
           .addBefore(CALL, AGGREGATOR, new HttpObjectAggregator(MAX_RESPONSE_BYTES));
     }
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/UpstreamRequest.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/UpstreamRequest.java
@@ -155,7 +155,7 @@
    */
   public void setReading(boolean enabled) {
     if (!finished) {
-      connection.channel().config().setAutoRead(enabled);
+      connection.setReading(enabled);
     }
   }
 
@@ -179,7 +179,7 @@
   void onComplete() {
     if (!finished) {
       finished = true;
-      connection.channel().config().setAutoRead(true);
+      connection.setReading(true);
       listener.onComplete();
     }
   }
