Relay: what is kept of all answers together is bounded

Reported by operators of similar systems: bytes that are no answer came without end, and the machine that had called kept them all. Here a single answer was bounded, but not the sum, nor what a head takes: of 120 requests at once whose answers were heads of small fields without end, none at the VM was served any more (EndlessAnswerTests.many, HEADERS: no answer within 20 s; also at 64 requests). A field of six bytes on the wire takes some hundred bytes of the 64 MB heap, and a head may have 64 KB.

- A head has at most 256 fields, at endpoints and at the store.
- Bodies and events that are held back until they are complete take an eighth of the heap together.
A body beyond it is forwarded in parts, an event breaks its stream off.
No test failed for want of this: 120 events of 256 KB each fitted before, too.

UpstreamRequestTests.manyFields failed before, and HEADERS in EndlessAnswerTests; LARGE_PARTS_OF_AN_EVENT passed before, too.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
@@ -7,6 +7,7 @@
 import io.kumquatspindle.engine.fleet.Endpoint;
 import io.kumquatspindle.engine.fleet.EndpointTable;
 import io.kumquatspindle.node.port.HeaderCodec;
+import io.kumquatspindle.node.relay.ResponseMemory;
 import io.kumquatspindle.node.relay.UpstreamRequest;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -45,6 +46,7 @@
   private final ResponseForwarder forwarder;
   private final AttemptTimeouts timeouts;
   private final ByteBuf bufferedBody = Unpooled.buffer(0);
+  private final ResponseMemory.Account held;
   private UpstreamRequest upstream;
   private HttpResponse head;
   private boolean notRun;
@@ -71,6 +73,7 @@
     this.request = request;
     this.forward = forward;
     this.forwarder = forwarder;
+    this.held = context.responseMemory().open();
     RouteSpec route = exchange.route();
     this.timeouts =
         new AttemptTimeouts(
@@ -125,6 +128,7 @@
       return false;
     }
     finished = true;
+    held.resize(0);
     if (stallTimer != null) {
       stallTimer.cancel(false);
     }
@@ -300,7 +304,11 @@
       recordEvents(forwarder.eventCount() - before);
       lastProgressMs = context.node().now();
     }
-    upstream.setReading(forwarder.isWritable());
+    if (held.resize(forwarder.partialEventBytes())) {
+      upstream.setReading(forwarder.isWritable());
+    } else {
+      onFailed("no memory for an event of more than " + forwarder.partialEventBytes() + " bytes");
+    }
   }
 
   private void recordEvents(long count) {
@@ -312,13 +320,15 @@
   }
 
   private void buffer(ByteBuf data) {
-    if (bufferedBody.readableBytes() + data.readableBytes() <= MAX_BUFFERED_BYTES) {
+    int bytes = bufferedBody.readableBytes() + data.readableBytes();
+    if (bytes <= MAX_BUFFERED_BYTES && held.resize(bytes)) {
       bufferedBody.writeBytes(data);
     } else if (!notRun) {
       large = true;
       forwarder.startBody(head);
       forwarder.sendData(bufferedBody);
       forwarder.sendData(data);
+      held.resize(0);
     } else if (finish()) {
       // The head already states that the request has not run; the body may be endless.
       upstream.cancel();
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontContext.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontContext.java
@@ -6,6 +6,7 @@
 import io.kumquatspindle.node.peer.QuotaEnforcer;
 import io.kumquatspindle.node.port.HeaderCodec;
 import io.kumquatspindle.node.relay.EndpointConnections;
+import io.kumquatspindle.node.relay.ResponseMemory;
 import java.util.Random;
 
 /**
@@ -18,6 +19,7 @@
  * @param quotas rate limits of the customers
  * @param retryBudgets retry budgets by service
  * @param connections connections to endpoints
+ * @param responseMemory memory for parts of responses that are held back
  * @param responseTimes response times of the routes
  * @param promptGuard rejects requests whose prompts crash endpoints
  * @param metrics metrics of requests
@@ -31,6 +33,7 @@
     QuotaEnforcer quotas,
     RetryBudgets retryBudgets,
     EndpointConnections connections,
+    ResponseMemory responseMemory,
     ResponseTimes responseTimes,
     PromptGuard promptGuard,
     FrontMetrics metrics,
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServerFactory.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServerFactory.java
@@ -8,10 +8,13 @@
 import io.kumquatspindle.node.peer.QuotaEnforcer;
 import io.kumquatspindle.node.port.HeaderCodec;
 import io.kumquatspindle.node.relay.EndpointConnections;
+import io.kumquatspindle.node.relay.ResponseMemory;
 import java.util.Random;
 
 /** Creates the {@link FrontServer} and the objects that it uses. */
 public final class FrontServerFactory {
+  /** Part of the heap that responses may take while they are held back: one in so many. */
+  private static final long HEAP_SHARE_OF_RESPONSES = 8;
 
   private FrontServerFactory() {}
 
@@ -42,6 +45,7 @@
             quotas,
             new RetryBudgets(node, peers::vmCount),
             new EndpointConnections(node.loop(), node.clock()),
+            new ResponseMemory(Runtime.getRuntime().maxMemory() / HEAP_SHARE_OF_RESPONSES),
             new ResponseTimes(),
             new PromptGuard(node, peers::broadcast, crashRecords),
             new FrontMetrics(node.metrics()),
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/ResponseForwarder.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/ResponseForwarder.java
@@ -64,6 +64,11 @@
     return splitter.filter(EventSplitter::inPartialEvent).isPresent();
   }
 
+  /** Returns the bytes of the incomplete event that is held back. */
+  int partialEventBytes() {
+    return splitter.map(EventSplitter::partialEventBytes).orElse(0);
+  }
+
   void discardPartialEvent() {
     splitter.ifPresent(EventSplitter::discardPartialEvent);
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/ClientChannels.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/ClientChannels.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 
 /** Channels and codecs of HTTP clients. */
 final class ClientChannels {
@@ -26,11 +27,14 @@
 
   /** Returns a codec for one request and its response. */
   static HttpClientCodec newCodec() {
+    HttpHeadersFactory headers = new BoundedHeadersFactory();
     return new HttpClientCodec(
         new HttpDecoderConfig()
             .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
             .setMaxHeaderSize(MAX_HEADER_BYTES)
-            .setMaxChunkSize(MAX_CHUNK_BYTES),
+            .setMaxChunkSize(MAX_CHUNK_BYTES)
+            .setHeadersFactory(headers)
+            .setTrailersFactory(headers),
         HttpClientCodec.DEFAULT_PARSE_HTTP_AFTER_CONNECT_REQUEST,
         true);
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/PooledHttpClient.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/PooledHttpClient.java
@@ -36,15 +36,13 @@
   /** Time limit of a call with a response in transit, in ms; 9.6 s for the largest at 7 Mbit/s. */
   private static final long MAX_CALL_DURATION_MS = 10_000;
 
-  /** Largest response, in bytes; a page of the store's latest records is at most 1 MB. */
-  private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
-
   private static final String CODEC = "codec";
   private static final String AGGREGATOR = "aggregator";
   private static final String THROTTLE = "throttle";
   private static final String CALL = "call";
 
   private final EventLoop loop;
+  private final int maxResponseBytes;
   private final Map<String, ArrayDeque<Channel>> idleConnections = new HashMap<>();
 
   /** Result of a call. */
@@ -69,9 +67,11 @@
    * Creates a client without connections.
    *
    * @param loop event loop of all connections
+   * @param maxResponseBytes largest body of a response, in bytes; a call with a larger one fails
    */
-  public PooledHttpClient(EventLoop loop) {
+  public PooledHttpClient(EventLoop loop, int maxResponseBytes) {
     this.loop = loop;
+    this.maxResponseBytes = maxResponseBytes;
   }
 
   /**
@@ -179,7 +179,7 @@
       call = started;
       ch.pipeline()
           .addBefore(THROTTLE, CODEC, ClientChannels.newCodec())
-          .addBefore(CALL, AGGREGATOR, new HttpObjectAggregator(MAX_RESPONSE_BYTES));
+          .addBefore(CALL, AGGREGATOR, new HttpObjectAggregator(maxResponseBytes));
     }
 
     @Override
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/PooledHttpClientTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/PooledHttpClientTests.java
@@ -33,9 +33,10 @@
 class PooledHttpClientTests {
   private static final long TIMEOUT_MS = 500;
   private static final int CONNECTIONS = 3;
+  private static final int MAX_RESPONSE_BYTES = 64 * 1024;
 
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
-  private final PooledHttpClient client = new PooledHttpClient(group.next());
+  private final PooledHttpClient client = new PooledHttpClient(group.next(), MAX_RESPONSE_BYTES);
   private StallingServer server;
 
   @BeforeEach
@@ -134,11 +135,22 @@
     }
   }
 
+  @Test
+  @DisplayName("gives up a response that is larger than the limit")
+  void largeResponse() throws Exception {
+    server.pieces = MAX_RESPONSE_BYTES + 1;
+
+    assertInstanceOf(PooledHttpClient.Result.Failed.class, call().get(5, TimeUnit.SECONDS));
+  }
+
   /** HTTP server that answers each request, except on connections that have been stalled. */
   private static final class StallingServer implements AutoCloseable {
     private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private static final int PIECES = 4;
 
+    /** Number of bytes in a response, each sent by itself. */
+    private volatile int pieces = PIECES;
+
     /** Pause before each piece of a response, in ms. */
     private volatile long pauseMs;
 
@@ -194,10 +206,10 @@
     }
 
     private void respond(OutputStream out) throws IOException {
-      out.write(bytes(leading + "HTTP/1.1 200 OK\r\nContent-Length: " + PIECES + "\r\n\r\n"));
-      for (int i = 0; i < PIECES; i++) {
+      out.write(bytes(leading + "HTTP/1.1 200 OK\r\nContent-Length: " + pieces + "\r\n\r\n"));
+      for (int i = 0; i < pieces; i++) {
         LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(pauseMs));
-        out.write(bytes(i == PIECES - 1 ? "x" + trailing : "x"));
+        out.write(bytes(i == pieces - 1 ? "x" + trailing : "x"));
       }
     }
 
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/UpstreamRequestTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/UpstreamRequestTests.java
@@ -198,6 +198,19 @@
     }
   }
 
+  @Test
+  @DisplayName("is failed by a head of many small fields, each of which takes memory")
+  void manyFields() throws Exception {
+    Recorder listener = new Recorder(true);
+    loop.execute(() -> send(listener));
+    try (Socket s = endpoint.accept()) {
+      assertEquals("sent", listener.next());
+      s.getOutputStream()
+          .write(("HTTP/1.1 200 OK\r\n" + "X: y\r\n".repeat(1_000)).getBytes(US_ASCII));
+      assertEquals("failed", listener.next());
+    }
+  }
+
   private static void awaitUninterruptibly(CountDownLatch latch) {
     try {
       latch.await(TIMEOUT_MS, TimeUnit.MILLISECONDS);
