Entry: a connection to an endpoint carries one call only

Callers of a service got the answer to an earlier call, or an endpoint's 500 as a 200: OkHttp keeps the bytes that follow a response in the buffer of the connection, and takes them for the beginning of the next response there. It offers no way to ask for them. A service need not echo the request's id, so that the comparison of ids doesn't help it.

Calls to endpoints now use a connection each. A call that may run only once is no longer sent on a connection that the endpoint may have closed, either.

The cost of the connects was not measured yet.

--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/Attempt.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/Attempt.java
@@ -97,7 +97,7 @@
   private Optional<AttemptFailure> handle(Call call, Response response) throws IOException {
     Optional<AttemptFailure> failure = checkResponse(response);
     if (failure.isPresent()) {
-      // The body is not read to its end, so the connection must not return to the pool.
+      // The body is not read to its end.
       call.cancel();
       return failure;
     }
@@ -113,7 +113,7 @@
     return Optional.empty();
   }
 
-  // Reads the body to its end, so that the connection can be reused.
+  // Reads the body to its end, so that the endpoint can complete its response.
   private void drainBody(Response response) {
     running.readStarted(env.clock().nowMs());
     try {
--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/UpstreamClient.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/UpstreamClient.java
@@ -19,20 +19,18 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 
-/** HTTP client for calls to endpoints. It never resends a call by itself. */
+/** HTTP client for calls to endpoints. It never resends a call or reuses a connection. */
 public final class UpstreamClient implements AutoCloseable {
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
   private static final Duration WRITE_TIMEOUT = Duration.ofSeconds(10);
   private static final int MAX_CALLS = 20_000;
-  private static final int IDLE_CONNECTIONS = 256;
-  private static final long IDLE_SECONDS = 60;
   private static final List<String> FORWARDED_HEADERS = List.of("content-type", "accept");
   private static final Set<String> METHODS_WITHOUT_BODY = Set.of("GET", "HEAD");
   private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH");
 
   private final OkHttpClient client;
 
-  /** Creates a client with a connection pool of its own. */
+  /** Creates a client that opens a connection for each call. */
   public UpstreamClient() {
     Dispatcher dispatcher = new Dispatcher();
     dispatcher.setMaxRequests(MAX_CALLS);
@@ -40,7 +38,9 @@
     client =
         new OkHttpClient.Builder()
             .dispatcher(dispatcher)
-            .connectionPool(new ConnectionPool(IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS))
+            // Bytes behind a response stay in the connection's buffer, where OkHttp takes them for
+            // the beginning of the next response.
+            .connectionPool(new ConnectionPool(0, 1, TimeUnit.SECONDS))
             .protocols(List.of(Protocol.HTTP_1_1))
             .proxy(Proxy.NO_PROXY)
             .retryOnConnectionFailure(false)
