Quarantine: suspects of a crash are bounded

Found when the change of the evidence was read: each request that is broken off right after its head now adds a part that no other request has. An endpoint whose connections are reset for long counts as one crash, and kept them all for 10 minutes after the last; each of them drew the conclusions anew, over all that is known.

A crash has at most 256 suspects, the most recent ones. Conclusions are drawn only if a part is suspected in two crashes, since no other part can change them, and peers are told of such parts only. PromptQuarantineTests.manyResets records 100,000 breaks at 50 endpoints in less than 5 s.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PromptQuarantine.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PromptQuarantine.java
@@ -1,6 +1,7 @@
 package io.kumquatspindle.engine.fleet;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -9,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
  * Finds parts of prompts that crash every endpoint that answers them, and quarantines them. Handles
@@ -53,6 +55,12 @@
   /** Maximum number of crashes that are remembered. */
   static final int MAX_CRASHES = 256;
 
+  /**
+   * Maximum number of suspects of one crash, the most recent ones; an engine runs up to 128
+   * requests. An endpoint whose connections are reset again and again counts as one crash.
+   */
+  static final int MAX_SUSPECTS = 256;
+
   /** Maximum number of parts that peers are told to be sound; about 1 KB in each digest. */
   static final int MAX_VOUCHED_PARTS = 64;
 
@@ -104,10 +112,10 @@
   }
 
   private static final class Crash {
-    private final Set<String> suspects = new HashSet<>();
+    private final Set<String> suspects = Collections.newSetFromMap(new LruMap<>(MAX_SUSPECTS));
 
     /** Parts that are sound, although a VM has suspected them. */
-    private final Set<String> acquitted = new HashSet<>();
+    private final Set<String> acquitted = Collections.newSetFromMap(new LruMap<>(MAX_SUSPECTS));
 
     private long untilMs;
 
@@ -164,13 +172,19 @@
     }
   }
 
-  /** Removes a part from all suspects, and returns whether it was one. */
+  /** Removes a part from all suspects, and returns whether it was part of the explanation. */
   private boolean acquit(String part) {
-    boolean suspected = false;
+    int acquitted = 0;
     for (Crash c : crashes.values()) {
-      suspected |= c.acquit(part);
+      acquitted += c.acquit(part) ? 1 : 0;
     }
-    return suspected;
+    return acquitted >= CRASHES_LIMIT;
+  }
+
+  /** Returns whether a part is suspected in enough crashes to be part of the explanation. */
+  private boolean isExplanatory(String part) {
+    return crashes.values().stream().filter(c -> c.suspects.contains(part)).count()
+        >= CRASHES_LIMIT;
   }
 
   private boolean isSound(String part, long now) {
@@ -212,7 +226,7 @@
     }
   }
 
-  /** Adds to the evidence, and returns whether it has changed. */
+  /** Adds to the evidence, and returns whether the explanation may have changed. */
   private boolean addSuspects(String crash, Collection<String> parts, long untilMs, long now) {
     Crash c = crashes.computeIfAbsent(crash, k -> new Crash());
     c.untilMs = Math.max(c.untilMs, untilMs);
@@ -222,7 +236,7 @@
         c.acquitted.add(part);
         vouchIfNeeded(part, now);
       } else {
-        changed |= c.suspects.add(part);
+        changed |= c.suspects.add(part) && isExplanatory(part);
       }
     }
     return changed;
@@ -345,7 +359,9 @@
     crashes.forEach(
         (crash, c) -> {
           if (c.isValid(now) && c.suspects.stream().anyMatch(parts::contains)) {
-            evidence.put(crash, new Evidence(c.suspects, c.untilMs - now));
+            Set<String> suspects =
+                c.suspects.stream().filter(this::isExplanatory).collect(Collectors.toSet());
+            evidence.put(crash, new Evidence(suspects, c.untilMs - now));
           }
         });
     return evidence;
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PromptQuarantineTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PromptQuarantineTests.java
@@ -2,9 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.kumquatspindle.engine.fleet.PromptQuarantine.Evidence;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -66,6 +68,26 @@
     assertEquals(Set.of(BAD), quarantine.vouched(NOW + 5));
   }
 
+  @Test
+  @DisplayName("of each of many requests that resets break off takes little time and memory")
+  void manyResets() {
+    quarantine.recordSound(List.of(COMMON), NOW);
+    assertTimeoutPreemptively(
+        Duration.ofSeconds(5),
+        () -> {
+          for (int i = 0; i < 100_000; i++) {
+            quarantine.recordCrash("e" + i % 50 + "/1", List.of(COMMON, "own" + i), NOW + i / 10);
+          }
+        });
+    quarantine.recordCrash("e1/1", List.of(BAD), NOW + 10_000);
+    quarantine.recordCrash("e2/1", List.of(BAD), NOW + 10_000);
+
+    assertTrue(quarantined(BAD, NOW + 10_000));
+    Map<String, Evidence> evidence = quarantine.evidence(NOW + 10_000);
+    assertEquals(Set.of("e1/1", "e2/1"), evidence.keySet());
+    evidence.values().forEach(e -> assertEquals(Set.of(BAD), e.parts()));
+  }
+
   @Test
   @DisplayName("counts one crash once, however many requests it broke off")
   void sameCrash() {
