--- a/kumquatspindle-api/src/main/java/io/kumquatspindle/api/fleet/ResponseHead.java
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/fleet/ResponseHead.java
@@ -1,6 +1,7 @@
 package io.kumquatspindle.api.fleet;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /**
@@ -12,6 +13,7 @@
  * @param load the current load of the endpoint, if present
  * @param leaving whether the endpoint states that it is about to leave
  * @param retryAfterMs time for which the endpoint wants no requests of this VM, in ms, if stated
+ * @param limitPerS requests a second that the endpoint accepts from all VMs together, if stated
  */
 public record ResponseHead(
     Optional<String> requestId,
@@ -19,7 +21,8 @@
     boolean notRun,
     Optional<Load> load,
     boolean leaving,
-    OptionalLong retryAfterMs) {
+    OptionalLong retryAfterMs,
+    OptionalDouble limitPerS) {
 
   /**
    * The current load of an endpoint.
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Endpoint.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Endpoint.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -56,6 +57,7 @@
   private int connectFailures;
   private boolean announcedLeaving;
   private long refusesUntilMs;
+  private OptionalDouble limitPerS = OptionalDouble.empty();
 
   /**
    * Creates the view of an endpoint.
@@ -196,6 +198,18 @@
     return refusesUntilMs - now;
   }
 
+  /**
+   * Records the limit that a response of the endpoint states.
+   *
+   * @param statedPerS requests a second from all VMs together, or empty if it states none
+   * @return whether the limit has changed
+   */
+  public boolean recordLimit(OptionalDouble statedPerS) {
+    boolean changed = !statedPerS.equals(limitPerS);
+    limitPerS = statedPerS;
+    return changed;
+  }
+
   /**
    * Records a failed connection attempt, and avoids the endpoint with exponential backoff.
    *
