--- a/kumquatspindle-api/src/main/java/io/kumquatspindle/api/error/ErrorKind.java
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/error/ErrorKind.java
@@ -48,6 +48,8 @@
   NO_ENDPOINT(503, "no_endpoint", NOT_RUN, true),
   /** The model cannot be loaded at the moment. */
   LOAD_REFUSED(503, "load_refused", NOT_RUN, true),
+  /** The endpoints that could serve the request accept no more requests at the moment. */
+  ENDPOINT_LIMITED(503, "endpoint_limited", NOT_RUN, true),
   /** A part of the prompt crashes endpoints. */
   PROMPT_QUARANTINED(503, "prompt_quarantined", NOT_RUN, true),
   /** The endpoint failed, and whether it executed the request is unknown. */
--- a/kumquatspindle-api/src/main/java/io/kumquatspindle/api/fleet/ResponseHead.java
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/fleet/ResponseHead.java
@@ -14,6 +14,7 @@
  * @param leaving whether the endpoint states that it is about to leave
  * @param retryAfterMs time for which the endpoint wants no requests of this VM, in ms, if stated
  * @param limitPerS requests a second that the endpoint accepts from all VMs together, if stated
+ * @param limitUnreadable whether a limit is stated that is no rate
  */
 public record ResponseHead(
     Optional<String> requestId,
@@ -22,7 +23,8 @@
     Optional<Load> load,
     boolean leaving,
     OptionalLong retryAfterMs,
-    OptionalDouble limitPerS) {
+    OptionalDouble limitPerS,
+    boolean limitUnreadable) {
 
   /**
    * The current load of an endpoint.
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Endpoint.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Endpoint.java
@@ -58,6 +58,7 @@
   private boolean announcedLeaving;
   private long refusesUntilMs;
   private OptionalDouble limitPerS = OptionalDouble.empty();
+  private long limitHeardMs = Long.MIN_VALUE / 2;
 
   /**
    * Creates the view of an endpoint.
@@ -89,6 +90,16 @@
     return entry.id();
   }
 
+  /**
+   * Returns the identity of this start of the endpoint: another start knows nothing of what this
+   * one has said.
+   *
+   * @return text that is the same on all VMs
+   */
+  public String instance() {
+    return entry.id() + "/" + entry.startedAtMs();
+  }
+
   public int inFlight() {
     return inFlight;
   }
@@ -150,6 +161,7 @@
   void keepAnnouncements(Endpoint before) {
     announcedLeaving = before.announcedLeaving;
     refuseUntil(before.refusesUntilMs);
+    recordLimit(before.limitPerS, before.limitHeardMs);
   }
 
   /** Records that the endpoint said in a response that it is leaving. */
@@ -199,17 +211,60 @@
   }
 
   /**
-   * Records the limit that a response of the endpoint states.
+   * Records what the endpoint has last said about its limit. Statements may arrive in another order
+   * than they were made, from peers too; an earlier one is ignored.
    *
-   * @param statedPerS requests a second from all VMs together, or empty if it states none
+   * @param statedPerS requests a second from all VMs together, or empty if there is no limit
+   * @param heardMs when a VM received the statement, in ms
    * @return whether the limit has changed
    */
-  public boolean recordLimit(OptionalDouble statedPerS) {
+  boolean recordLimit(OptionalDouble statedPerS, long heardMs) {
+    if (heardMs < limitHeardMs) {
+      return false;
+    }
+    limitHeardMs = heardMs;
     boolean changed = !statedPerS.equals(limitPerS);
     limitPerS = statedPerS;
     return changed;
   }
 
+  /**
+   * Returns the requests a second that the endpoint accepts from all VMs together.
+   *
+   * @return the limit, or empty if there is none
+   */
+  public OptionalDouble limitPerS() {
+    return limitPerS;
+  }
+
+  /**
+   * Returns whether the endpoint accepts a limited number of requests a second.
+   *
+   * @return whether there is a limit
+   */
+  public boolean limited() {
+    return limitPerS.isPresent();
+  }
+
+  /**
+   * Returns when a VM last received what the endpoint says about its limit.
+   *
+   * @return time in ms; long ago if it has said nothing
+   */
+  public long limitHeardMs() {
+    return limitHeardMs;
+  }
+
+  /**
+   * Returns whether requests can be expected to be served here as usual.
+   *
+   * @param now current time, in ms
+   * @return whether the endpoint is neither avoided nor limited
+   */
+  public boolean unrestricted(long now) {
+    return !avoided(now) && !limited();
+  }
+
   /**
    * Records a failed connection attempt, and avoids the endpoint with exponential backoff.
    *
--- /dev/null
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointLimits.java
@@ -0,0 +1,105 @@
+package io.kumquatspindle.engine.fleet;
+
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+
+/**
+ * Decides which requests may be sent to endpoints that state a limit for all VMs together. Handles
+ * limits of less than one request a second over many VMs, and traffic that enters at any of them:
+ * the VM that holds an endpoint gives out its whole limit, less the part of VMs that it cannot
+ * reach. A VM that cannot reach the holder uses its equal part of the limit by itself. Not
+ * thread-safe: confined to one owner thread.
+ */
+public final class EndpointLimits {
+  private static final double MS_PER_SECOND = 1_000;
+
+  /** Maximum number of endpoints; a fleet has about 600. */
+  private static final int MAX_ENDPOINTS = 1_024;
+
+  /**
+   * Lowest rate, per second: an endpoint that accepts next to nothing still gets a request now and
+   * then, by whose answer it can state another limit.
+   */
+  static final double MIN_RATE_PER_S = 0.1;
+
+  private final Map<String, RequestSchedule> shared = new LruMap<>(MAX_ENDPOINTS);
+  private final Map<String, RequestSchedule> ownPart = new LruMap<>(MAX_ENDPOINTS);
+  private final DoubleSupplier random;
+
+  /**
+   * Creates an instance without limits.
+   *
+   * @param random returns random numbers from 0 to 1
+   */
+  public EndpointLimits(DoubleSupplier random) {
+    this.random = random;
+  }
+
+  private static double ratePerS(Endpoint endpoint) {
+    return Math.max(MIN_RATE_PER_S, endpoint.limitPerS().orElse(Double.MAX_VALUE));
+  }
+
+  /**
+   * Decides about a request, at the VM that holds the endpoint.
+   *
+   * @param endpoint the endpoint
+   * @param reachableShare share of the VMs that this VM reaches, more than 0, at most 1
+   * @param maxWaitMs longest time for which the request can wait, in ms
+   * @param now current time, in ms
+   * @return the decision
+   */
+  public Permit reserve(Endpoint endpoint, double reachableShare, long maxWaitMs, long now) {
+    double ratePerS = ratePerS(endpoint) * reachableShare;
+    RequestSchedule schedule =
+        shared.computeIfAbsent(
+            endpoint.instance(),
+            k -> new RequestSchedule(ratePerS, now + MS_PER_SECOND / ratePerS, true));
+    schedule.setRate(ratePerS, now);
+    return schedule.reserve(maxWaitMs, now);
+  }
+
+  /**
+   * Counts a call of this VM itself, such as an order, at an endpoint that it holds.
+   *
+   * @param endpoint the endpoint
+   * @param now current time, in ms
+   */
+  public void charge(Endpoint endpoint, long now) {
+    RequestSchedule schedule = shared.get(endpoint.instance());
+    if (endpoint.limited() && schedule != null) {
+      schedule.charge(now);
+    }
+  }
+
+  /**
+   * Decides about a request while the holder of the endpoint is out of reach. The VMs begin at
+   * random times, so that together they keep to the limit from the start.
+   *
+   * @param endpoint the endpoint
+   * @param vms number of VMs, at least 1
+   * @param maxWaitMs longest time for which the request can wait, in ms
+   * @param now current time, in ms
+   * @return the decision
+   */
+  public Permit reserveOwnPart(Endpoint endpoint, int vms, long maxWaitMs, long now) {
+    double ratePerS = ratePerS(endpoint) / vms;
+    RequestSchedule schedule =
+        ownPart.computeIfAbsent(
+            endpoint.instance(),
+            k -> {
+              double firstInMs = random.getAsDouble() * MS_PER_SECOND / ratePerS;
+              return new RequestSchedule(ratePerS, now + firstInMs, false);
+            });
+    schedule.setRate(ratePerS, now);
+    return schedule.reserve(maxWaitMs, now);
+  }
+
+  /**
+   * Handles that the holder of an endpoint has answered.
+   *
+   * @param endpoint the endpoint
+   */
+  public void holderAnswered(Endpoint endpoint) {
+    ownPart.remove(endpoint.instance());
+  }
+}
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointSelector.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointSelector.java
@@ -22,6 +22,12 @@
   /** Cost of an avoided endpoint; exceeds the sum of all other costs. */
   private static final double AVOIDED_COST = 100;
 
+  /**
+   * Cost of an endpoint with a limit, which is left to requests that no other can serve; more than
+   * that of a queue as long as the slots.
+   */
+  private static final double LIMITED_COST = 2;
+
   private final String domain;
 
   /**
@@ -63,6 +69,7 @@
   private double cost(Endpoint e, long now) {
     double cost = e.utilization(now) + FAILURE_COST * e.failureRate(now);
     cost += e.entry().domain().equals(domain) ? 0 : OTHER_DOMAIN_COST;
+    cost += e.limited() ? LIMITED_COST : 0;
     cost += e.avoided(now) ? AVOIDED_COST : 0;
     // Breaks ties pseudo-randomly, by less than the cost of one slot of a large engine.
     return cost + (Hashes.of(e.id() + now) & 0xff) * 1e-5;
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /** The known endpoints, by ID. Not thread-safe: confined to one owner thread. */
@@ -170,6 +171,34 @@
     current(endpoint).refuseUntil(untilMs);
   }
 
+  /**
+   * Records what an endpoint has said about its limit.
+   *
+   * @param endpoint the endpoint
+   * @param statedPerS requests a second from all VMs together, or empty if there is no limit
+   * @param heardMs when a VM received the statement, in ms
+   * @return whether the limit has changed
+   */
+  public boolean recordLimit(Endpoint endpoint, OptionalDouble statedPerS, long heardMs) {
+    Endpoint current = current(endpoint);
+    boolean changed = current.recordLimit(statedPerS, heardMs);
+    if (current != endpoint) {
+      endpoint.recordLimit(statedPerS, heardMs);
+    }
+    return changed;
+  }
+
+  /**
+   * Returns an endpoint by the identity of its start.
+   *
+   * @param instance value of {@link Endpoint#instance}
+   * @return the endpoint, or empty if this start of it is unknown
+   */
+  public Optional<Endpoint> findInstance(String instance) {
+    int separator = Math.max(0, instance.lastIndexOf('/'));
+    return find(instance.substring(0, separator)).filter(e -> e.instance().equals(instance));
+  }
+
   /** Returns the view that is in use now, as the entry may have gone and come back meanwhile. */
   private Endpoint current(Endpoint endpoint) {
     Endpoint current = byId.get(endpoint.id());
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
@@ -27,7 +27,7 @@
   /** Cost of an eviction, in ms per unit of {@link ReplicaPolicy#keepValue}. */
   private static final double EVICTION_COST_MS = 1_500;
 
-  /** Cost of an avoided endpoint, in ms. */
+  /** Cost of an avoided or limited endpoint, in ms. */
   private static final double AVOIDED_COST_MS = 30_000;
 
   /** Cost of evicting a model that is in use, in ms: the eviction has to wait for its requests. */
@@ -107,7 +107,7 @@
     }
     boolean heldByCandidate =
         endpoints.holders(service, model, now).stream()
-            .anyMatch(e -> !excludedIds.contains(e.id()));
+            .anyMatch(e -> !excludedIds.contains(e.id()) && !e.limited());
     long hash = Hashes.of(model);
     Endpoint best = null;
     double bestCostMs = 0;
@@ -152,7 +152,7 @@
 
   /** Returns the estimated time until a load at an endpoint would complete, in ms. */
   private double loadDelayMs(Endpoint e, ModelInfo model, long now) {
-    double ms = (e.avoided(now) ? AVOIDED_COST_MS : 0) + remainingLoadMs(e, now);
+    double ms = (e.unrestricted(now) ? 0 : AVOIDED_COST_MS) + remainingLoadMs(e, now);
     if (e.holds(model.name(), "", now)) {
       return ms + e.utilization(now) * model.diskLoadMs();
     }
@@ -195,8 +195,8 @@
   }
 
   /**
-   * Estimates when a model or an adapter will be available at any endpoint, if it is requested now.
-   * The time that an adapter itself takes to load is neglected.
+   * Estimates when a model or an adapter will be available at any endpoint without a limit, if it
+   * is requested now. The time that an adapter itself takes to load is neglected.
    *
    * @param service name of the service
    * @param model the model
@@ -208,7 +208,8 @@
    */
   public long readyInMs(
       String service, ModelInfo model, String adapter, int storeLoadsAtOnce, long now) {
-    List<Endpoint> holders = endpoints.holders(service, model.name(), now);
+    List<Endpoint> holders =
+        endpoints.holders(service, model.name(), now).stream().filter(e -> !e.limited()).toList();
     if (!holders.isEmpty()) {
       return adapter.isEmpty()
           ? 0
@@ -220,6 +221,9 @@
     }
     long best = storeMs;
     for (Endpoint e : endpoints.available(service)) {
+      if (e.limited()) {
+        continue;
+      }
       Optional<ActiveLoads.Load> load = loads.loadAt(e.id(), now);
       long remainingMs = remainingLoadMs(e, now);
       boolean sameModel = load.isPresent() && load.get().model().equals(model.name());
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/ReplicaPolicy.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/ReplicaPolicy.java
@@ -93,7 +93,7 @@
     long deadlineMs = rate >= HOT_PER_S ? now + loadMs : Long.MAX_VALUE;
     List<Endpoint> others = new ArrayList<>(holders(service, model, now));
     others.addAll(loadingEndpoints(service, model, deadlineMs, now));
-    others.removeIf(e -> e.id().equals(endpoint.id()) || e.avoided(now));
+    others.removeIf(e -> e.id().equals(endpoint.id()) || !e.unrestricted(now));
     if (others.isEmpty() || rate / others.size() > REPLICA_CAPACITY_PER_S) {
       return true;
     }
@@ -113,7 +113,7 @@
    */
   public boolean mayNeedReplica(String service, String model, String domain, long now) {
     List<Endpoint> holders =
-        holders(service, model, now).stream().filter(e -> !e.avoided(now)).toList();
+        holders(service, model, now).stream().filter(e -> e.unrestricted(now)).toList();
     return holders.isEmpty()
         || demand.rate(model, now) / holders.size() > REPLICA_CAPACITY_PER_S
         || holders.stream().noneMatch(e -> e.entry().domain().equals(domain));
@@ -140,7 +140,7 @@
     boolean domainServed = rate < HOT_PER_S;
     int others = 0;
     for (Endpoint e : holders(endpoint.entry().service(), model, now)) {
-      if (!e.id().equals(endpoint.id())) {
+      if (!e.id().equals(endpoint.id()) && !e.limited()) {
         others++;
         domainServed = domainServed || sameDomain(e, endpoint);
       }
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/EndpointTableTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/EndpointTableTests.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
@@ -87,4 +88,33 @@
     assertFalse(e.holds("a", "", 100));
     assertTrue(e.holds("a", "", Endpoint.UPDATE_VALID_MS));
   }
+
+  @Test
+  @DisplayName("keeps the latest word of an endpoint on its limit, whichever comes last")
+  void limitsOvertakeEachOther() {
+    table.put(TestEndpoints.endpoint("e1", "west"));
+    Endpoint e = table.find("e1").orElseThrow();
+
+    assertTrue(table.recordLimit(e, OptionalDouble.of(2), 1_000));
+    assertFalse(table.recordLimit(e, OptionalDouble.empty(), 900));
+    assertFalse(table.recordLimit(e, OptionalDouble.of(2), 1_100));
+    assertTrue(table.recordLimit(e, OptionalDouble.empty(), 1_200));
+    assertFalse(table.recordLimit(e, OptionalDouble.of(3), 1_150));
+    assertFalse(e.limited());
+  }
+
+  @Test
+  @DisplayName("keeps the limit of an endpoint whose entry lapses and comes back, not of a restart")
+  void limitOfReturnedEndpoint() {
+    table.put(TestEndpoints.endpoint("e1", "west", 1, Set.of()));
+    table.recordLimit(table.find("e1").orElseThrow(), OptionalDouble.of(2), 1_000);
+    table.remove("e1", 50_000);
+    table.put(TestEndpoints.endpoint("e1", "west", 1, Set.of()));
+
+    assertEquals(OptionalDouble.of(2), table.find("e1").orElseThrow().limitPerS());
+    assertTrue(table.findInstance("e1/1").isPresent());
+    table.put(TestEndpoints.endpoint("e1", "west", 2, Set.of()));
+    assertFalse(table.find("e1").orElseThrow().limited());
+    assertTrue(table.findInstance("e1/1").isEmpty());
+  }
 }
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementChooserTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementChooserTests.java
@@ -5,10 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.kumquatspindle.api.fleet.EngineInfo;
+import io.kumquatspindle.api.fleet.ModelInfo;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
@@ -173,4 +175,24 @@
           "e1", selector.choose(endpoints.all(), Set.of(), "s" + i, i).orElseThrow().id());
     }
   }
+
+  @Test
+  @DisplayName("loads a model or adapter elsewhere whose only holder has a limit")
+  void onlyHolderIsLimited() {
+    EngineInfo engine = TestEndpoints.engineInfo("a", "b", "c", "d");
+    ModelInfo model = engine.models().get("c");
+    assertEquals(0, chooser.readyInMs(TestEndpoints.SERVICE, model, "", 4, 0));
+    endpoints.recordLimit(endpoints.find("e2").orElseThrow(), OptionalDouble.of(2), 0);
+
+    assertNotEquals("e2", choose("c", 0).orElseThrow().id());
+    assertNotEquals(
+        "e2",
+        chooser
+            .choose(TestEndpoints.SERVICE, engine, "c", "a1", "west", Set.of(), 0)
+            .orElseThrow()
+            .id());
+    assertEquals(model.storeLoadMs(), chooser.readyInMs(TestEndpoints.SERVICE, model, "", 4, 0));
+    assertTrue(
+        replicas.replicaNeeded(endpoints.find("e3").orElseThrow(), "c", model.storeLoadMs(), 0));
+  }
 }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
@@ -4,6 +4,7 @@
 import io.kumquatspindle.api.fleet.FleetConfiguration;
 import io.kumquatspindle.api.time.MonotonicClock;
 import io.kumquatspindle.engine.fleet.ActiveRequests;
+import io.kumquatspindle.engine.fleet.EndpointLimits;
 import io.kumquatspindle.engine.fleet.EndpointTable;
 import io.kumquatspindle.engine.fleet.LoadQueues;
 import io.kumquatspindle.engine.fleet.ModelDemand;
@@ -12,6 +13,7 @@
 import io.kumquatspindle.node.observe.TaskTimer;
 import io.netty.channel.EventLoop;
 import java.util.Optional;
+import java.util.Random;
 
 /** State and services shared by all parts of the program. Confined to the event loop thread. */
 public final class NodeContext {
@@ -34,6 +36,7 @@
   private final ActiveRequests activeRequests = new ActiveRequests();
   private final LoadQueues loadQueues = new LoadQueues();
   private final PromptQuarantine promptQuarantine = new PromptQuarantine();
+  private final EndpointLimits endpointLimits = new EndpointLimits(new Random()::nextDouble);
   private final TaskTimer taskTimer;
   private final long startedMs;
   private Optional<FleetConfiguration> configuration = Optional.empty();
@@ -114,6 +117,10 @@
     return promptQuarantine;
   }
 
+  public EndpointLimits endpointLimits() {
+    return endpointLimits;
+  }
+
   public Optional<FleetConfiguration> configuration() {
     return configuration;
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -11,6 +11,7 @@
 import io.kumquatspindle.node.front.FrontServer;
 import io.kumquatspindle.node.front.FrontServerFactory;
 import io.kumquatspindle.node.front.PageServer;
+import io.kumquatspindle.node.limit.EndpointPermits;
 import io.kumquatspindle.node.observe.ActivityLogger;
 import io.kumquatspindle.node.observe.EventLog;
 import io.kumquatspindle.node.order.OrderController;
@@ -67,6 +68,7 @@
   private final TcpPeerTransport peerTransport;
   private final QuotaEnforcer quotas;
   private final OrderController orders;
+  private final EndpointPermits permits;
   private final PendingRequests pendingRequests;
   private final Peers peers;
   private final FleetStateUpdater fleetState;
@@ -110,6 +112,7 @@
     ownership = new PartitionOwnership(node, store, peers, quotas, peerTransport.self());
     orders =
         new OrderController(node, ownership, peers, peerTransport, adapter.engines().apply(node));
+    permits = new EndpointPermits(node, ownership, peers, peerTransport);
     pendingRequests = new PendingRequests(node, orders);
     // Runs as a separate task: a change caused by a request must not be handled before that request
     // has been added to the waiting ones.
@@ -134,7 +137,7 @@
     crashRecords = new CrashRecords(node, store);
     front =
         FrontServerFactory.create(
-            node, adapter.headers(), pendingRequests, quotas, peers, crashRecords);
+            node, adapter.headers(), pendingRequests, quotas, permits, peers, crashRecords);
   }
 
   /**
@@ -168,7 +171,9 @@
     scheduleEvery(
         Peers.DIGEST_INTERVAL_MS,
         "tell",
-        () -> quotas.sendDigests(ownership.fencingNumber(), ownership.heldPartitions()));
+        () ->
+            quotas.sendDigests(
+                ownership.fencingNumber(), ownership.heldPartitions(), permits.heldLimits()));
     scheduleEvery(DEMAND_CHECK_INTERVAL_MS, "spread", orders::scaleReplicas);
     scheduleEvery(DEMAND_CHECK_INTERVAL_MS, "prefetch", orders::prefetch);
     ActivityLogger activity = new ActivityLogger(node.log(), node.metrics());
@@ -230,6 +235,7 @@
       peers.onDigest(d);
       quotas.onDigest(d);
       ownership.onDigest(d);
+      d.limits().forEach(permits::onLimit);
       long version = node.configuration().map(FleetConfiguration::version).orElse(0L);
       if (d.configuration() > version) {
         fleetState.onNewerPeerVersion(
@@ -244,6 +250,12 @@
       orders.onPeerChange(c);
     } else if (message instanceof NodeMessage.Crash c) {
       node.promptQuarantine().recordCrash(c.endpoint(), c.parts(), node.now());
+    } else if (message instanceof NodeMessage.Limit l) {
+      permits.onLimit(l);
+    } else if (message instanceof NodeMessage.PermitRequest r) {
+      permits.onRequest(r);
+    } else if (message instanceof NodeMessage.PermitReply r) {
+      permits.onReply(r);
     }
   }
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/AttemptHistory.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/AttemptHistory.java
@@ -35,6 +35,11 @@
     tried.add(endpoint);
   }
 
+  /** Records that an endpoint is not to be tried, although nothing has been sent to it. */
+  void skip(String endpoint) {
+    tried.add(endpoint);
+  }
+
   void sent() {
     inProgress = true;
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointAttempt.java
@@ -272,9 +272,7 @@
     }
     long now = context.node().now();
     info.retryAfterMs().ifPresent(ms -> endpoints.refuseUntil(endpoint, now + ms));
-    if (endpoint.recordLimit(info.limitPerS())) {
-      exchange.log().limited(endpoint, info.limitPerS());
-    }
+    context.permits().onResponse(endpoint, info, sentMs);
   }
 
   @Override
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointCandidates.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointCandidates.java
@@ -5,6 +5,7 @@
 import io.kumquatspindle.engine.fleet.Endpoint;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -58,12 +59,11 @@
         && context.node().configuration().flatMap(c -> c.service(service)).isPresent();
   }
 
-  /** Returns when an endpoint that asked for a pause accepts requests again, in ms. */
-  long retryAfterMs(long now) {
+  /** Returns when an endpoint that asked for a pause accepts requests again, in ms, if one did. */
+  OptionalLong pauseMs(long now) {
     return context.node().endpoints().available(service).stream()
         .filter(e -> e.refuses(now))
         .mapToLong(e -> e.refusesForMs(now))
-        .min()
-        .orElse(Exchange.DEFAULT_RETRY_AFTER_MS);
+        .min();
   }
 }
--- /dev/null
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointSearch.java
@@ -0,0 +1,154 @@
+package io.kumquatspindle.node.front;
+
+import io.kumquatspindle.api.error.ErrorKind;
+import io.kumquatspindle.api.fleet.RequestHead;
+import io.kumquatspindle.api.fleet.RouteSpec;
+import io.kumquatspindle.engine.fleet.Endpoint;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.stream.LongStream;
+
+/**
+ * Finds the endpoint for the next attempt of one request. Waits for the turn of the request if the
+ * endpoint has a limit, and for the model if no endpoint that accepts requests holds it.
+ */
+final class EndpointSearch implements ModelWait.Listener, PermitWait.Listener {
+  /** Remaining time below which a request that was not sent is rejected, in ms. */
+  static final long DEADLINE_MARGIN_MS = 80;
+
+  private final FrontContext context;
+  private final Admission admission;
+  private final RequestHead head;
+  private final EndpointCandidates candidates;
+  private final AttemptHistory history;
+  private final long arrivedMs;
+  private final long deadlineMs;
+  private final Listener listener;
+  private final PermitWait permitWait;
+  private Optional<ModelWait> modelWait = Optional.empty();
+  private boolean ended;
+
+  /** Is notified of the end of each search, unless the search was cancelled. */
+  interface Listener {
+    /** Called when the request can be sent; it may have waited for that. */
+    void onFound(Endpoint endpoint, boolean waited);
+
+    /** Called when the search has to begin again, after a wait. */
+    void onSearchAgain();
+
+    /** Called when no endpoint can serve the request in time. */
+    void onUnavailable(ErrorKind reason, long retryAfterMs, String detail);
+  }
+
+  EndpointSearch(
+      FrontContext context,
+      Admission admission,
+      RequestHead head,
+      EndpointCandidates candidates,
+      AttemptHistory history,
+      long arrivedMs,
+      long deadlineMs,
+      Listener listener) {
+    this.context = context;
+    this.admission = admission;
+    this.head = head;
+    this.candidates = candidates;
+    this.history = history;
+    this.arrivedMs = arrivedMs;
+    this.deadlineMs = deadlineMs;
+    this.listener = listener;
+    this.permitWait = new PermitWait(context, this);
+  }
+
+  /** Starts to search; the listener may be called before this method returns. */
+  void start() {
+    long now = context.node().now();
+    Optional<Endpoint> next = candidates.choose(history.tried(), now);
+    if (next.filter(Endpoint::limited).isPresent()) {
+      long goalMs = Math.min(route().latencyTargetMs(), deadlineMs - now - DEADLINE_MARGIN_MS);
+      permitWait.start(next.get(), PermitWait.maxWaitMs(goalMs, admission.priority()));
+    } else if (next.isPresent()) {
+      listener.onFound(next.get(), false);
+    } else if (candidates.needsModel()) {
+      waitForModel();
+    } else {
+      int accepting = candidates.accepting(now).size();
+      unavailable(ErrorKind.NO_ENDPOINT, candidates.pauseMs(now), "candidates " + accepting);
+    }
+  }
+
+  private void waitForModel() {
+    ended = false;
+    long goalMs = arrivedMs + route().latencyTargetMs();
+    ModelWait wait =
+        ModelWait.start(context, head, candidates.service(), goalMs, waitDeadlineMs(), this);
+    modelWait = ended ? Optional.empty() : Optional.of(wait);
+  }
+
+  private RouteSpec route() {
+    return admission.route();
+  }
+
+  /** Returns when to reject the request, shortly before the caller disconnects by itself. */
+  private long waitDeadlineMs() {
+    long timeoutMs = route().clientTimeoutMs();
+    long disconnectMs = timeoutMs == Long.MAX_VALUE ? deadlineMs : arrivedMs + timeoutMs;
+    return Math.min(deadlineMs, disconnectMs) - DEADLINE_MARGIN_MS;
+  }
+
+  /** Returns whether the request waits for its model. */
+  boolean waitsForModel() {
+    return modelWait.isPresent();
+  }
+
+  /** Ends the search without a call to the listener. */
+  void cancel() {
+    ended = true;
+    modelWait.ifPresent(ModelWait::cancel);
+    permitWait.cancel();
+  }
+
+  /** Reports the limits as the reason if the endpoints with limits had no turn for the request. */
+  private void unavailable(ErrorKind reason, OptionalLong availableInMs, String detail) {
+    OptionalLong turnMs = permitWait.retryAfterMs();
+    long retryAfterMs =
+        LongStream.concat(turnMs.stream(), availableInMs.stream())
+            .min()
+            .orElse(Exchange.DEFAULT_RETRY_AFTER_MS);
+    ErrorKind kind = turnMs.isPresent() ? ErrorKind.ENDPOINT_LIMITED : reason;
+    listener.onUnavailable(kind, retryAfterMs, detail);
+  }
+
+  @Override
+  public void onPermitted(Endpoint endpoint) {
+    if (candidates.accepting(context.node().now()).contains(endpoint)) {
+      listener.onFound(endpoint, true);
+    } else {
+      listener.onSearchAgain();
+    }
+  }
+
+  @Override
+  public void onPermitRejected(Endpoint endpoint) {
+    history.skip(endpoint.id());
+    listener.onSearchAgain();
+  }
+
+  @Override
+  public void onModelAvailable() {
+    endModelWait();
+    history.clearTried();
+    listener.onSearchAgain();
+  }
+
+  @Override
+  public void onModelUnavailable(long retryAfterMs) {
+    endModelWait();
+    unavailable(ErrorKind.LOAD_REFUSED, OptionalLong.of(retryAfterMs), "model " + head.model());
+  }
+
+  private void endModelWait() {
+    ended = true;
+    modelWait = Optional.empty();
+  }
+}
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -16,10 +16,7 @@
  * Handles one request of a caller: authorises and charges it, chooses an endpoint, sends it with
  * retries where allowed, and answers it exactly once. All calls are made on the event loop.
  */
-final class Exchange implements ModelWait.Listener {
-  /** Remaining time below which a request that was not sent is rejected, in ms. */
-  private static final long DEADLINE_MARGIN_MS = 80;
-
+final class Exchange implements EndpointSearch.Listener {
   private final FrontContext context;
   private final FullHttpRequest request;
   private final ResponseForwarder forwarder;
@@ -34,7 +31,7 @@
   private long deadlineMs;
   private Optional<EndpointAttempt> attempt = Optional.empty();
   private ScheduledFuture<?> timer;
-  private Optional<ModelWait> modelWait = Optional.empty();
+  private Optional<EndpointSearch> search = Optional.empty();
   private boolean finished;
 
   Exchange(FrontContext context, FullHttpRequest request, CallerResponseWriter caller) {
@@ -75,6 +72,10 @@
     candidates = new EndpointCandidates(context, head);
     candidates.selectService(route());
     retries = new RetryRules(context, head, forwarder, history, candidates);
+    search =
+        Optional.of(
+            new EndpointSearch(
+                context, admission, head, candidates, history, arrivedMs, deadlineMs, this));
     context.retryBudgets().recordRequest(candidates.service());
     if (!head.model().isEmpty()) {
       context.node().demand().addRequests(head.model(), 1, arrivedMs);
@@ -109,11 +110,15 @@
   static final long DEFAULT_RETRY_AFTER_MS = 400;
 
   private void dispatch() {
+    runOrFail(this::chooseEndpoint);
+  }
+
+  private void runOrFail(Runnable step) {
     if (finished) {
       return;
     }
     try {
-      chooseEndpoint();
+      step.run();
     } catch (RuntimeException e) {
       // The caller must get an answer all the same.
       context.node().log().internalError(e);
@@ -121,33 +126,49 @@
     }
   }
 
-  private void chooseEndpoint() {
+  /** Rejects the request if it may not be sent any more, or not before its deadline. */
+  private boolean rejectIfOverdue() {
     Optional<ErrorKind> denied = admission.check(head, path);
     if (denied.isPresent()) {
       fail(denied.get(), DEFAULT_RETRY_AFTER_MS, "configuration changed while waiting");
-      return;
+      return true;
     }
     candidates.selectService(route());
     if (rejectIfQuarantined()) {
-      return;
+      return true;
     }
-    long now = context.node().now();
-    if (deadlineMs - now < DEADLINE_MARGIN_MS) {
+    if (deadlineMs - context.node().now() < EndpointSearch.DEADLINE_MARGIN_MS) {
       fail(ErrorKind.DEADLINE_TOO_SHORT, DEFAULT_RETRY_AFTER_MS, "");
-      return;
+      return true;
     }
-    Optional<Endpoint> next = candidates.choose(history.tried(), now);
-    if (next.isPresent()) {
-      send(next.get(), now);
-    } else if (candidates.needsModel()) {
-      long goalMs = arrivedMs + route().latencyTargetMs();
-      ModelWait wait =
-          ModelWait.start(context, head, candidates.service(), goalMs, waitDeadlineMs(), this);
-      modelWait = finished || attempt.isPresent() ? Optional.empty() : Optional.of(wait);
-    } else {
-      int accepting = candidates.accepting(now).size();
-      fail(ErrorKind.NO_ENDPOINT, candidates.retryAfterMs(now), "candidates " + accepting);
+    return false;
+  }
+
+  private void chooseEndpoint() {
+    if (rejectIfOverdue()) {
+      return;
     }
+    search.orElseThrow().start();
+  }
+
+  @Override
+  public void onFound(Endpoint endpoint, boolean waited) {
+    runOrFail(
+        () -> {
+          if (!waited || !rejectIfOverdue()) {
+            send(endpoint, context.node().now());
+          }
+        });
+  }
+
+  @Override
+  public void onSearchAgain() {
+    dispatch();
+  }
+
+  @Override
+  public void onUnavailable(ErrorKind reason, long retryAfterMs, String detail) {
+    fail(reason, retryAfterMs, detail);
   }
 
   private void send(Endpoint endpoint, long now) {
@@ -328,7 +349,7 @@
 
   /** Rejects the request if it is waiting for its model, because the program stops. */
   void rejectIfWaiting() {
-    if (modelWait.isPresent() && !finished) {
+    if (search.filter(EndpointSearch::waitsForModel).isPresent() && !finished) {
       fail(ErrorKind.SHUTTING_DOWN, DEFAULT_RETRY_AFTER_MS, "");
     }
   }
@@ -362,7 +383,7 @@
     if (timer != null) {
       timer.cancel(false);
     }
-    modelWait.ifPresent(ModelWait::cancel);
+    search.ifPresent(EndpointSearch::cancel);
     context.promptGuard().unwatch(this);
     request.release();
   }
@@ -374,24 +395,4 @@
   RequestHead head() {
     return head;
   }
-
-  /** Returns when to reject the request, shortly before the caller disconnects by itself. */
-  private long waitDeadlineMs() {
-    long timeoutMs = route().clientTimeoutMs();
-    long disconnectMs = timeoutMs == Long.MAX_VALUE ? deadlineMs : arrivedMs + timeoutMs;
-    return Math.min(deadlineMs, disconnectMs) - DEADLINE_MARGIN_MS;
-  }
-
-  @Override
-  public void onModelAvailable() {
-    modelWait = Optional.empty();
-    history.clearTried();
-    dispatch();
-  }
-
-  @Override
-  public void onModelUnavailable(long retryAfterMs) {
-    modelWait = Optional.empty();
-    fail(ErrorKind.LOAD_REFUSED, retryAfterMs, "model " + head.model());
-  }
 }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/ExchangeLog.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/ExchangeLog.java
@@ -6,8 +6,6 @@
 import io.kumquatspindle.node.NodeContext;
 import io.kumquatspindle.node.observe.EventLog;
 import java.util.List;
-import java.util.Locale;
-import java.util.OptionalDouble;
 
 /** Records the events of one request: log lines, metrics and outcomes of its endpoints. */
 final class ExchangeLog {
@@ -107,13 +105,6 @@
     line("broken_off").field("reason", reason).write();
   }
 
-  /** Records that an endpoint states another limit than before, or none any more. */
-  void limited(Endpoint endpoint, OptionalDouble limitPerS) {
-    String perS =
-        limitPerS.isPresent() ? String.format(Locale.ROOT, "%.2f", limitPerS.getAsDouble()) : "";
-    line("endpoint_limit", endpoint).field("per_s", perS).write();
-  }
-
   void foreignResponse(Endpoint endpoint, String otherId) {
     context.metrics().recordForeignResponse();
     line("foreign_response", endpoint).field("other", otherId).write();
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontContext.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontContext.java
@@ -2,6 +2,7 @@
 
 import io.kumquatspindle.engine.fleet.EndpointSelector;
 import io.kumquatspindle.node.NodeContext;
+import io.kumquatspindle.node.limit.EndpointPermits;
 import io.kumquatspindle.node.order.PendingRequests;
 import io.kumquatspindle.node.peer.QuotaEnforcer;
 import io.kumquatspindle.node.port.HeaderCodec;
@@ -17,6 +18,7 @@
  * @param selector chooses endpoints
  * @param pendingRequests requests that wait for a model
  * @param quotas rate limits of the customers
+ * @param permits permits for requests to endpoints with a limit
  * @param retryBudgets retry budgets by service
  * @param connections connections to endpoints
  * @param responseMemory memory for parts of responses that are held back
@@ -31,6 +33,7 @@
     EndpointSelector selector,
     PendingRequests pendingRequests,
     QuotaEnforcer quotas,
+    EndpointPermits permits,
     RetryBudgets retryBudgets,
     EndpointConnections connections,
     ResponseMemory responseMemory,
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServerFactory.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServerFactory.java
@@ -3,6 +3,7 @@
 import io.kumquatspindle.engine.fleet.EndpointSelector;
 import io.kumquatspindle.node.NodeContext;
 import io.kumquatspindle.node.follow.CrashRecords;
+import io.kumquatspindle.node.limit.EndpointPermits;
 import io.kumquatspindle.node.order.PendingRequests;
 import io.kumquatspindle.node.peer.Peers;
 import io.kumquatspindle.node.peer.QuotaEnforcer;
@@ -25,6 +26,7 @@
    * @param headerCodec codec of the platform's headers
    * @param pendingRequests requests that wait for a model
    * @param quotas rate limits of the customers
+   * @param permits permits for requests to endpoints with a limit
    * @param peers the other VMs
    * @param crashRecords keeps evidence of crashes in the store
    * @return the server
@@ -34,6 +36,7 @@
       HeaderCodec headerCodec,
       PendingRequests pendingRequests,
       QuotaEnforcer quotas,
+      EndpointPermits permits,
       Peers peers,
       CrashRecords crashRecords) {
     FrontContext context =
@@ -43,6 +46,7 @@
             new EndpointSelector(node.settings().domain()),
             pendingRequests,
             quotas,
+            permits,
             new RetryBudgets(node, peers::vmCount),
             new EndpointConnections(node.loop(), node.clock()),
             new ResponseMemory(Runtime.getRuntime().maxMemory() / HEAP_SHARE_OF_RESPONSES),
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/PromptGuard.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/PromptGuard.java
@@ -69,7 +69,7 @@
     if (unproven.isEmpty()) {
       return;
     }
-    String crashed = endpoint.id() + "/" + endpoint.entry().startedAtMs();
+    String crashed = endpoint.instance();
     node.log()
         .line("prompt_suspected")
         .field("endpoint", endpoint.id())
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -313,11 +313,13 @@
     }
     if (step.get() instanceof OrderScheduler.Step.SendOrder s) {
       ordersSent.inc();
+      node.endpointLimits().charge(e, node.now());
       engines.order(e.entry(), s.order(), a -> onResponse(e, orders, context, s, a));
     } else if (step.get() instanceof OrderScheduler.Step.DrainModel r) {
       node.log().line("retire").field("endpoint", e.id()).field("model", r.model()).write();
       publishChange(e, new HoldingChange(r.model(), "", HoldingChange.Kind.EVICTED));
     } else {
+      node.endpointLimits().charge(e, node.now());
       engines.report(
           e.entry(),
           r -> {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/NodeMessage.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/NodeMessage.java
@@ -2,6 +2,7 @@
 
 import io.kumquatspindle.engine.fleet.PromptQuarantine;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /** A message between two VMs. */
@@ -34,6 +35,7 @@
    * @param heard number of VMs that are reachable for the sender, itself included
    * @param crashes evidence for the parts of prompts that the sender has quarantined, by crash
    * @param vouched parts of prompts that are sound although a VM suspects them
+   * @param limits limits of the endpoints that the sender holds
    */
   record Digest(
       long process,
@@ -49,9 +51,49 @@
       Set<Integer> partitions,
       int heard,
       Map<String, PromptQuarantine.Evidence> crashes,
-      Set<String> vouched)
+      Set<String> vouched,
+      Set<Limit> limits)
       implements NodeMessage {}
 
+  /**
+   * What an endpoint has said about the requests that it accepts.
+   *
+   * @param endpoint identity of the endpoint and its start
+   * @param perS requests a second from all VMs together, or empty if there is no limit any more
+   * @param ageMs time since a VM received that, in ms
+   */
+  record Limit(String endpoint, OptionalDouble perS, long ageMs) implements NodeMessage {}
+
+  /**
+   * A VM wants to send a request to an endpoint with a limit, which the receiver holds.
+   *
+   * @param address the sender's peer address
+   * @param number number of this message at the sender
+   * @param limit the limit of the endpoint, as the sender knows it
+   * @param maxWaitMs longest time for which the request can wait, in ms
+   */
+  record PermitRequest(String address, long number, Limit limit, long maxWaitMs)
+      implements NodeMessage {}
+
+  /**
+   * The decision about a {@link PermitRequest}.
+   *
+   * @param number number of the permit request
+   * @param result the decision
+   * @param delayMs time after which the request may be sent, or its caller should return, in ms
+   */
+  record PermitReply(long number, Result result, long delayMs) implements NodeMessage {
+    /** A decision. */
+    public enum Result {
+      /** The request may be sent. */
+      GRANTED,
+      /** The request is rejected. */
+      REJECTED,
+      /** The sender does not hold the endpoint. */
+      NOT_HOLDER
+    }
+  }
+
   /**
    * VMs that are reachable for the sender, sent to a receiver that reaches fewer.
    *
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerCodec.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerCodec.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -18,6 +19,9 @@
   private static final int CHANGED = 3;
   private static final int KNOWN = 4;
   private static final int CRASH = 5;
+  private static final int LIMIT = 6;
+  private static final int PERMIT_REQUEST = 7;
+  private static final int PERMIT_REPLY = 8;
 
   private PeerCodec() {}
 
@@ -45,6 +49,10 @@
           packTexts(p, e.getValue().parts());
         }
         packTexts(p, d.vouched());
+        p.packArrayHeader(d.limits().size());
+        for (NodeMessage.Limit l : d.limits()) {
+          packLimit(p, l);
+        }
       } else if (message instanceof NodeMessage.Known k) {
         packTexts(p.packInt(KNOWN), k.addresses());
       } else if (message instanceof NodeMessage.Crash c) {
@@ -55,11 +63,33 @@
       } else if (message instanceof NodeMessage.Changed c) {
         p.packInt(CHANGED).packString(c.endpoint()).packString(c.model()).packString(c.adapter());
         p.packInt(c.kind().ordinal()).packBoolean(c.fromStore()).packLong(c.forMs());
+      } else if (message instanceof NodeMessage.Limit l) {
+        packLimit(p.packInt(LIMIT), l);
+      } else if (message instanceof NodeMessage.PermitRequest r) {
+        p.packInt(PERMIT_REQUEST).packString(r.address()).packLong(r.number());
+        packLimit(p, r.limit());
+        p.packLong(r.maxWaitMs());
+      } else if (message instanceof NodeMessage.PermitReply r) {
+        p.packInt(PERMIT_REPLY).packLong(r.number()).packInt(r.result().ordinal());
+        p.packLong(r.delayMs());
       }
       return p.toByteArray();
     }
   }
 
+  private static void packLimit(MessagePacker p, NodeMessage.Limit l) throws IOException {
+    p.packString(l.endpoint()).packBoolean(l.perS().isPresent());
+    p.packDouble(l.perS().orElse(0)).packLong(l.ageMs());
+  }
+
+  private static NodeMessage.Limit unpackLimit(MessageUnpacker u) throws IOException {
+    String endpoint = u.unpackString();
+    boolean limited = u.unpackBoolean();
+    double perS = u.unpackDouble();
+    OptionalDouble limit = limited ? OptionalDouble.of(perS) : OptionalDouble.empty();
+    return new NodeMessage.Limit(endpoint, limit, u.unpackLong());
+  }
+
   private static void packCounts(MessageBufferPacker p, Map<String, Integer> counts)
       throws IOException {
     p.packMapHeader(counts.size());
@@ -101,6 +131,11 @@
                 u.unpackString(), u.unpackString(), u.unpackString(), u.unpackLong());
         case CHANGED -> unpackChanged(u);
         case KNOWN -> new NodeMessage.Known(unpackTexts(u));
+        case LIMIT -> unpackLimit(u);
+        case PERMIT_REQUEST ->
+            new NodeMessage.PermitRequest(
+                u.unpackString(), u.unpackLong(), unpackLimit(u), u.unpackLong());
+        case PERMIT_REPLY -> unpackPermitReply(u);
         case CRASH -> new NodeMessage.Crash(u.unpackString(), unpackTexts(u));
         default -> throw new IOException("unknown kind of peer message: " + kind);
       };
@@ -140,6 +175,12 @@
       }
       vouched = unpackTexts(u);
     }
+    Set<NodeMessage.Limit> limits = new HashSet<>();
+    if (u.hasNext()) {
+      for (int n = u.unpackArrayHeader(); n > 0; n--) {
+        limits.add(unpackLimit(u));
+      }
+    }
     return new NodeMessage.Digest(
         process,
         address,
@@ -154,19 +195,30 @@
         partitions,
         heard,
         crashes,
-        vouched);
+        vouched,
+        limits);
+  }
+
+  private static NodeMessage.PermitReply unpackPermitReply(MessageUnpacker u) throws IOException {
+    long number = u.unpackLong();
+    NodeMessage.PermitReply.Result result =
+        value(NodeMessage.PermitReply.Result.values(), u.unpackInt());
+    return new NodeMessage.PermitReply(number, result, u.unpackLong());
+  }
+
+  private static <T> T value(T[] values, int ordinal) throws IOException {
+    if (ordinal < 0 || ordinal >= values.length) {
+      throw new IOException("unknown value in a peer message: " + ordinal);
+    }
+    return values[ordinal];
   }
 
   private static NodeMessage unpackChanged(MessageUnpacker u) throws IOException {
     String endpoint = u.unpackString();
     String model = u.unpackString();
     String adapter = u.unpackString();
-    int kind = u.unpackInt();
-    NodeMessage.Changed.Kind[] kinds = NodeMessage.Changed.Kind.values();
-    if (kind < 0 || kind >= kinds.length) {
-      throw new IOException("unknown kind of change: " + kind);
-    }
+    NodeMessage.Changed.Kind kind = value(NodeMessage.Changed.Kind.values(), u.unpackInt());
     return new NodeMessage.Changed(
-        endpoint, model, adapter, kinds[kind], u.unpackBoolean(), u.unpackLong());
+        endpoint, model, adapter, kind, u.unpackBoolean(), u.unpackLong());
   }
 }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaEnforcer.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaEnforcer.java
@@ -197,8 +197,10 @@
    *
    * @param fencingNumber fencing number of this VM's orders
    * @param partitions partitions that this VM holds
+   * @param limits limits of the endpoints that this VM holds
    */
-  public void sendDigests(long fencingNumber, Set<Integer> partitions) {
+  public void sendDigests(
+      long fencingNumber, Set<Integer> partitions, Set<NodeMessage.Limit> limits) {
     resizeRounds();
     round = (round + 1) % unsentModelUses.size();
     Map<String, Long> uses = unsentModelUses.get(round);
@@ -211,7 +213,7 @@
           if (!addresses.isEmpty()) {
             peers
                 .transport()
-                .send(addresses, digest(deaf, consumed, uses, fencingNumber, partitions));
+                .send(addresses, digest(deaf, consumed, uses, fencingNumber, partitions, limits));
           }
         });
     uses.clear();
@@ -236,7 +238,8 @@
       Map<String, Double> consumed,
       Map<String, Long> uses,
       long fencingNumber,
-      Set<Integer> partitions) {
+      Set<Integer> partitions,
+      Set<NodeMessage.Limit> limits) {
     return new NodeMessage.Digest(
         process,
         peers.transport().self(),
@@ -251,7 +254,8 @@
         partitions,
         peers.reachableCount(),
         node.promptQuarantine().evidence(node.now()),
-        node.promptQuarantine().vouched(node.now()));
+        node.promptQuarantine().vouched(node.now()),
+        limits);
   }
 
   private DistributedTokenBucket quota(CustomerInfo customer) {
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/front/AdmissionTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/front/AdmissionTests.java
@@ -16,7 +16,8 @@
   private final NodeContext node = TestNodes.of(now, "west");
   private final Admission admission =
       new Admission(
-          new FrontContext(node, null, null, null, null, null, null, null, null, null, null, null));
+          new FrontContext(
+              node, null, null, null, null, null, null, null, null, null, null, null, null));
 
   @Test
   @DisplayName("rejects a request that arrives too late in the shutdown to be answered")
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/DigestScaleTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/DigestScaleTests.java
@@ -106,6 +106,7 @@
             Set.of(),
             heard,
             Map.of(),
+            Set.of(),
             Set.of()));
   }
 
@@ -113,7 +114,7 @@
     for (long until = now.get() + seconds * 1_000L; now.get() < until; ) {
       now.addAndGet(Peers.DIGEST_INTERVAL_MS);
       quotas.recordModelUse("m");
-      quotas.sendDigests(1, Set.of());
+      quotas.sendDigests(1, Set.of(), Set.of());
     }
   }
 
@@ -283,6 +284,7 @@
         Set.of(),
         1_000,
         Map.of(),
+        Set.of(),
         Set.of());
   }
 }
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeerCodecTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeerCodecTests.java
@@ -7,12 +7,14 @@
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 @DisplayName("Peer message codec")
 class PeerCodecTests {
@@ -33,7 +35,12 @@
             Set.of(1, 31),
             7,
             Map.of("e/1", new PromptQuarantine.Evidence(Set.of("5c", "e4"), 600_000)),
-            Set.of("e4")),
+            Set.of("e4"),
+            Set.of(new NodeMessage.Limit("e/1", OptionalDouble.of(2.5), 40))),
+        new NodeMessage.Limit("e/1", OptionalDouble.empty(), 0),
+        new NodeMessage.PermitRequest(
+            "10.0.0.1:7600", 3, new NodeMessage.Limit("e/1", OptionalDouble.of(0), 9), 300),
+        new NodeMessage.PermitReply(3, NodeMessage.PermitReply.Result.REJECTED, 1_200),
         new NodeMessage.Crash("e/1", Set.of("5c", "e4")),
         new NodeMessage.Known(Set.of("10.0.0.1:7600", "10.0.0.2:7600")),
         new NodeMessage.Want("e", "m", "a1", -250),
@@ -47,9 +54,10 @@
     assertEquals(message, PeerCodec.decode(PeerCodec.encode(message)));
   }
 
-  @Test
-  @DisplayName("reads the digest of an earlier version, which has no evidence of crashes")
-  void earlierVersion() throws IOException {
+  @ParameterizedTest
+  @ValueSource(ints = {1, 3})
+  @DisplayName("reads the digest of an earlier version, without limits or evidence of crashes")
+  void earlierVersion(int missingFields) throws IOException {
     NodeMessage.Digest digest =
         new NodeMessage.Digest(
             -7,
@@ -65,9 +73,10 @@
             Set.of(),
             7,
             Map.of(),
+            Set.of(),
             Set.of());
     byte[] encoded = PeerCodec.encode(digest);
-    byte[] earlier = Arrays.copyOf(encoded, encoded.length - 2);
+    byte[] earlier = Arrays.copyOf(encoded, encoded.length - missingFields);
 
     assertEquals(digest, PeerCodec.decode(earlier));
   }
