--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/PermitWait.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/PermitWait.java
@@ -14,7 +14,9 @@
   /** Delay after which a permit is not used any more because this VM has stood still, in ms. */
   private static final long MAX_DELAY_MS = 300;
 
-  /** Longest time for which an endpoint is avoided after a rejection, in ms. */
+  /** Bounds of the time for which an endpoint is avoided after a rejection, in ms. */
+  private static final long MIN_AVOID_MS = 200;
+
   private static final long MAX_AVOID_MS = 1_000;
 
   private final FrontContext context;
@@ -63,7 +65,7 @@
   private void onDecision(Endpoint endpoint, Permit permit, long maxWaitMs) {
     long now = context.node().now();
     if (!permit.granted()) {
-      endpoint.avoidUntil(now + Math.min(permit.delayMs(), MAX_AVOID_MS));
+      endpoint.avoidUntil(now + Math.max(MIN_AVOID_MS, Math.min(permit.delayMs(), MAX_AVOID_MS)));
       retryAfterMs =
           OptionalLong.of(Math.min(permit.delayMs(), retryAfterMs.orElse(Long.MAX_VALUE)));
       listener.onPermitRejected(endpoint);
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/limit/EndpointPermits.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/limit/EndpointPermits.java
@@ -197,8 +197,9 @@
       node.log().line("endpoint_limit_unreadable").field("endpoint", endpoint.id()).write();
       return;
     }
-    boolean limited = response.limitPerS().isPresent();
-    if (limited || endpoint.limited() && sentMs > endpoint.limitHeardMs()) {
+    boolean genuine = response.authenticated() || response.notRun();
+    boolean ends = genuine && endpoint.limited() && sentMs > endpoint.limitHeardMs();
+    if (response.limitPerS().isPresent() || ends) {
       record(endpoint, response.limitPerS(), node.now(), true);
     }
   }
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/PartitionOwnershipTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/PartitionOwnershipTests.java
@@ -11,12 +11,10 @@
 import io.kumquatspindle.node.peer.QuotaEnforcer;
 import io.kumquatspindle.node.peer.TcpPeerTransport;
 import io.kumquatspindle.node.port.RecordStore;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
@@ -133,54 +131,4 @@
 
     assertEquals(Optional.empty(), ownership.holder("e", "east"));
   }
-
-  /** Store whose responses about groups are set by the test. */
-  private static final class GroupStub implements RecordStore {
-    private final Map<String, Map<Integer, String>> membersByGroup = new HashMap<>();
-    private Joined joined;
-
-    void setMembers(String group, Map<Integer, String> members) {
-      membersByGroup.put(group, members);
-    }
-
-    @Override
-    public void join(
-        String group,
-        String member,
-        long generation,
-        long ttlMs,
-        Consumer<Optional<Joined>> answer) {
-      answer.accept(Optional.of(joined));
-    }
-
-    @Override
-    public void partitionOwners(String group, Consumer<Optional<Map<Integer, String>>> answer) {
-      answer.accept(Optional.of(new HashMap<>(membersByGroup.get(group))));
-    }
-
-    @Override
-    public void readLatest(Topic topic, Consumer<ReadResult> answer) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void read(Topic topic, long from, long waitMs, Consumer<ReadResult> answer) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void append(Topic topic, String key, byte[] value, Consumer<Boolean> answer) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void leave(String group, String member, Runnable done) {
-      done.run();
-    }
-
-    @Override
-    public int partitionCount() {
-      return 2;
-    }
-  }
 }
