Limits: a request that waited for its turn follows the route in force

A new version may have moved the route to another service while the request waited; the endpoint is checked against the candidates of the service selected now. A stalled or failed attempt is not given up for an endpoint with a limit, which may have no turn for it.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointSearch.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointSearch.java
@@ -26,14 +26,18 @@
   private final Listener listener;
   private final PermitWait permitWait;
   private Optional<ModelWait> modelWait = Optional.empty();
+
+  /** Endpoint with a limit at which the request has its turn. */
+  private Optional<Endpoint> turn = Optional.empty();
+
   private boolean ended;
 
   /** Is notified of the end of each search, unless the search was cancelled. */
   interface Listener {
-    /** Called when the request can be sent; it may have waited for that. */
-    void onFound(Endpoint endpoint, boolean waited);
+    /** Called when the request can be sent to an endpoint. */
+    void onFound(Endpoint endpoint);
 
-    /** Called when the search has to begin again, after a wait. */
+    /** Called when the search has to be started again, after a wait. */
     void onSearchAgain();
 
     /** Called when no endpoint can serve the request in time. */
@@ -63,12 +67,18 @@
   /** Starts to search; the listener may be called before this method returns. */
   void start() {
     long now = context.node().now();
+    Optional<Endpoint> permitted = turn.filter(e -> candidates.accepting(now).contains(e));
+    turn = Optional.empty();
+    if (permitted.isPresent()) {
+      listener.onFound(permitted.get());
+      return;
+    }
     Optional<Endpoint> next = candidates.choose(history.tried(), now);
     if (next.filter(Endpoint::limited).isPresent()) {
       long goalMs = Math.min(route().latencyTargetMs(), deadlineMs - now - DEADLINE_MARGIN_MS);
       permitWait.start(next.get(), PermitWait.maxWaitMs(goalMs, admission.priority()));
     } else if (next.isPresent()) {
-      listener.onFound(next.get(), false);
+      listener.onFound(next.get());
     } else if (candidates.needsModel()) {
       waitForModel();
     } else {
@@ -121,11 +131,8 @@
 
   @Override
   public void onPermitted(Endpoint endpoint) {
-    if (candidates.accepting(context.node().now()).contains(endpoint)) {
-      listener.onFound(endpoint, true);
-    } else {
-      listener.onSearchAgain();
-    }
+    turn = Optional.of(endpoint);
+    listener.onSearchAgain();
   }
 
   @Override
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/Exchange.java
@@ -110,15 +110,11 @@
   static final long DEFAULT_RETRY_AFTER_MS = 400;
 
   private void dispatch() {
-    runOrFail(this::chooseEndpoint);
-  }
-
-  private void runOrFail(Runnable step) {
     if (finished) {
       return;
     }
     try {
-      step.run();
+      chooseEndpoint();
     } catch (RuntimeException e) {
       // The caller must get an answer all the same.
       context.node().log().internalError(e);
@@ -145,20 +141,14 @@
   }
 
   private void chooseEndpoint() {
-    if (rejectIfOverdue()) {
-      return;
+    if (!rejectIfOverdue()) {
+      search.orElseThrow().start();
     }
-    search.orElseThrow().start();
   }
 
   @Override
-  public void onFound(Endpoint endpoint, boolean waited) {
-    runOrFail(
-        () -> {
-          if (!waited || !rejectIfOverdue()) {
-            send(endpoint, context.node().now());
-          }
-        });
+  public void onFound(Endpoint endpoint) {
+    send(endpoint, context.node().now());
   }
 
   @Override
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/RetryRules.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/RetryRules.java
@@ -45,7 +45,7 @@
   boolean takeForStalled(RouteSpec route) {
     long now = context.node().now();
     return mayRunAgain(route)
-        && candidates.hasUntried(history.tried(), e -> !e.avoided(now))
+        && candidates.hasUntried(history.tried(), e -> e.unrestricted(now))
         && take("stalled");
   }
 
@@ -53,7 +53,7 @@
   boolean takeForFailure(RouteSpec route) {
     return route.repeatable()
         && history.mayRetry(route)
-        && candidates.hasUntried(history.tried(), e -> true)
+        && candidates.hasUntried(history.tried(), e -> !e.limited())
         && take("failure_answered");
   }
 
