--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/limit/EndpointPermits.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/limit/EndpointPermits.java
@@ -35,6 +35,9 @@
   /** Relative change of a limit that the other VMs are told at once. */
   private static final double TOLD_CHANGE = 0.1;
 
+  /** Limit above which no permits are needed, per second: no endpoint is sent as many requests. */
+  private static final double NO_LIMIT_PER_S = 1_000;
+
   private final NodeContext node;
   private final PartitionOwnership ownership;
   private final Peers peers;
@@ -216,7 +219,9 @@
         .ifPresent(e -> record(e, message.perS(), heardMs, false));
   }
 
-  private void record(Endpoint endpoint, OptionalDouble perS, long heardMs, boolean firstHand) {
+  private void record(
+      Endpoint endpoint, OptionalDouble statedPerS, long heardMs, boolean firstHand) {
+    OptionalDouble perS = statedPerS.stream().filter(l -> l < NO_LIMIT_PER_S).findFirst();
     if (!node.endpoints().recordLimit(endpoint, perS, heardMs)) {
       return;
     }
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/limit/EndpointPermitsTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/limit/EndpointPermitsTests.java
@@ -235,6 +235,15 @@
         sent);
   }
 
+  @Test
+  @DisplayName("are not needed for a limit that no VMs can reach")
+  void largeLimit() {
+    respond(OptionalDouble.of(1e12), 900);
+
+    assertFalse(endpoint.limited());
+    assertEquals(List.of(), sent);
+  }
+
   @Test
   @DisplayName("cost no messages while the limit hardly changes")
   void smallChanges() {
