--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/RequestScheduleTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/RequestScheduleTests.java
@@ -13,7 +13,7 @@
   private final RequestSchedule schedule = new RequestSchedule(2, 0, true);
 
   @Test
-  @DisplayName("grants turns at the rate, and rejects who cannot wait for the next one")
+  @DisplayName("grants permits at the rate, and rejects who cannot wait for the next time")
   void spacesRequests() {
     assertEquals(NOW, schedule.reserve(600, 0));
     assertEquals(new Permit(true, 500), schedule.reserve(600, 0));
@@ -23,16 +23,16 @@
   }
 
   @Test
-  @DisplayName("makes up for one unused turn only")
-  void savesOneTurn() {
+  @DisplayName("makes up for one unused time only")
+  void savesOneTime() {
     assertEquals(NOW, schedule.reserve(0, 10_000));
     assertEquals(NOW, schedule.reserve(0, 10_000));
     assertEquals(false, schedule.reserve(0, 10_000).granted());
   }
 
   @Test
-  @DisplayName("that saves no turns keeps to its own times")
-  void losesUnusedTurns() {
+  @DisplayName("that saves nothing keeps to its own times")
+  void losesUnusedTimes() {
     RequestSchedule apart = new RequestSchedule(2, 250, false);
 
     assertEquals(new Permit(true, 150), apart.reserve(300, 10_100));
@@ -40,7 +40,7 @@
   }
 
   @Test
-  @DisplayName("tells rejected callers to return one after the other, in free turns")
+  @DisplayName("tells rejected callers to return one after the other, at free times")
   void spreadsReturns() {
     schedule.reserve(0, 0);
 
@@ -50,7 +50,7 @@
   }
 
   @Test
-  @DisplayName("tells no caller to return later than in 10 s, unless the next turn is later")
+  @DisplayName("tells no caller to return later than in 10 s, unless the next time is later")
   void boundsReturns() {
     for (int i = 0; i < 100; i++) {
       assertTrue(schedule.reserve(0, 0).delayMs() <= 10_000);
@@ -60,7 +60,7 @@
   }
 
   @Test
-  @DisplayName("keeps to a lower rate at once, also for turns that were reserved before")
+  @DisplayName("keeps to a lower rate at once, also for times that were reserved before")
   void rateFalls() {
     schedule.reserve(1_000, 0);
     schedule.reserve(1_000, 0);
@@ -71,7 +71,7 @@
   }
 
   @Test
-  @DisplayName("counts an order as a turn")
+  @DisplayName("takes a time for an order")
   void chargesOrders() {
     schedule.charge(0);
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointSearch.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/EndpointSearch.java
@@ -9,8 +9,8 @@
 import java.util.stream.LongStream;
 
 /**
- * Finds the endpoint for the next attempt of one request. Waits for the turn of the request if the
- * endpoint has a limit, and for the model if no endpoint that accepts requests holds it.
+ * Finds the endpoint for the next attempt of one request. Waits for a permit if the endpoint has a
+ * limit, and for the model if no endpoint that accepts requests holds it.
  */
 final class EndpointSearch implements ModelWait.Listener, PermitWait.Listener {
   /** Remaining time below which a request that was not sent is rejected, in ms. */
@@ -27,8 +27,8 @@
   private final PermitWait permitWait;
   private Optional<ModelWait> modelWait = Optional.empty();
 
-  /** Endpoint with a limit at which the request has its turn. */
-  private Optional<Endpoint> turn = Optional.empty();
+  /** Endpoint with a limit that has just granted a permit. */
+  private Optional<Endpoint> permitted = Optional.empty();
 
   private boolean ended;
 
@@ -67,10 +67,10 @@
   /** Starts to search; the listener may be called before this method returns. */
   void start() {
     long now = context.node().now();
-    Optional<Endpoint> permitted = turn.filter(e -> candidates.accepting(now).contains(e));
-    turn = Optional.empty();
-    if (permitted.isPresent()) {
-      listener.onFound(permitted.get());
+    Optional<Endpoint> ready = permitted.filter(e -> candidates.accepting(now).contains(e));
+    permitted = Optional.empty();
+    if (ready.isPresent()) {
+      listener.onFound(ready.get());
       return;
     }
     Optional<Endpoint> next = candidates.choose(history.tried(), now);
@@ -118,20 +118,20 @@
     permitWait.cancel();
   }
 
-  /** Reports the limits as the reason if the endpoints with limits had no turn for the request. */
+  /** Reports the limits as the reason if endpoints with limits rejected the request. */
   private void unavailable(ErrorKind reason, OptionalLong availableInMs, String detail) {
-    OptionalLong turnMs = permitWait.retryAfterMs();
+    OptionalLong permitMs = permitWait.retryAfterMs();
     long retryAfterMs =
-        LongStream.concat(turnMs.stream(), availableInMs.stream())
+        LongStream.concat(permitMs.stream(), availableInMs.stream())
             .min()
             .orElse(Exchange.DEFAULT_RETRY_AFTER_MS);
-    ErrorKind kind = turnMs.isPresent() ? ErrorKind.ENDPOINT_LIMITED : reason;
+    ErrorKind kind = permitMs.isPresent() ? ErrorKind.ENDPOINT_LIMITED : reason;
     listener.onUnavailable(kind, retryAfterMs, detail);
   }
 
   @Override
   public void onPermitted(Endpoint endpoint) {
-    turn = Optional.of(endpoint);
+    permitted = Optional.of(endpoint);
     listener.onSearchAgain();
   }
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/PermitWait.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/PermitWait.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
-/** Waits on behalf of one request for its turn at endpoints with a limit, one after the other. */
+/** Waits on behalf of one request for permits of endpoints with a limit, one after the other. */
 final class PermitWait {
   /** Longest wait of a request with the highest priority, in ms. */
   private static final long MAX_WAIT_MS = 1_000;
@@ -41,7 +41,7 @@
 
   /**
    * Returns the longest wait of a request. The less urgent it is, the shorter: when the limit is
-   * used up, the remaining turns go to urgent requests.
+   * used up, what remains of it goes to urgent requests.
    */
   static long maxWaitMs(long goalMs, int priority) {
     return Math.min(goalMs, MAX_WAIT_MS) / (1 + Math.max(0, priority));
@@ -78,13 +78,11 @@
               .node()
               .loop()
               .schedule(
-                  () -> onTurn(endpoint, dueMs, maxWaitMs),
-                  permit.delayMs(),
-                  TimeUnit.MILLISECONDS);
+                  () -> onDue(endpoint, dueMs, maxWaitMs), permit.delayMs(), TimeUnit.MILLISECONDS);
     }
   }
 
-  private void onTurn(Endpoint endpoint, long dueMs, long maxWaitMs) {
+  private void onDue(Endpoint endpoint, long dueMs, long maxWaitMs) {
     if (context.node().now() - dueMs > MAX_DELAY_MS) {
       start(endpoint, maxWaitMs);
     } else {
