Limits: VMs that the holder does not answer use half of their parts

The holder cannot know which VMs do not hear it, because it is slow, the cut is new or the answers are lost, and goes on giving out the whole limit. With equal parts beside it the sum was up to twice the limit; now it is one and a half times at most. Without any holder the VMs use their whole parts. EndpointLimitFleetTests.holderAnswersSome: half of the VMs ask the holder, half do not hear it, 8 and 95 VMs, limits of 2 and 20.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointLimits.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointLimits.java
@@ -7,7 +7,8 @@
  * Decides which requests may be sent to endpoints that state a limit for all VMs together. Handles
  * limits of less than one request a second over many VMs, and traffic that enters at any of them:
  * the VM that holds an endpoint gives out its whole limit, less the part of VMs that it cannot
- * reach. A VM that cannot reach the holder uses its equal part of the limit by itself. Not
+ * reach. A VM that gets no answer from the holder uses half of its equal part: the holder may be
+ * giving out the whole limit to others, without knowing that a VM does not hear it. Not
  * thread-safe: confined to one owner thread.
  */
 public final class EndpointLimits {
@@ -22,6 +23,9 @@
    */
   static final double MIN_RATE_PER_S = 0.1;
 
+  /** Share of the limit that VMs use beside a holder that does not answer them. */
+  private static final double UNHEARD_SHARE = 0.5;
+
   private final Map<String, RequestSchedule> shared = new LruMap<>(MAX_ENDPOINTS);
   private final Map<String, RequestSchedule> ownPart = new LruMap<>(MAX_ENDPOINTS);
   private final DoubleSupplier random;
@@ -72,17 +76,19 @@
   }
 
   /**
-   * Decides about a request while the holder of the endpoint is out of reach. The VMs begin at
-   * random times, so that together they keep to the limit from the start.
+   * Decides about a request without the holder of the endpoint. The VMs begin at random times, so
+   * that together they keep to the limit from the start.
    *
    * @param endpoint the endpoint
+   * @param holderKnown whether there is a holder, which others may reach
    * @param vms number of VMs, at least 1
    * @param maxWaitMs longest time for which the request can wait, in ms
    * @param now current time, in ms
    * @return the decision
    */
-  public Permit reserveOwnPart(Endpoint endpoint, int vms, long maxWaitMs, long now) {
-    double ratePerS = ratePerS(endpoint) / vms;
+  public Permit reserveOwnPart(
+      Endpoint endpoint, boolean holderKnown, int vms, long maxWaitMs, long now) {
+    double ratePerS = ratePerS(endpoint) * (holderKnown ? UNHEARD_SHARE : 1) / vms;
     RequestSchedule schedule =
         ownPart.computeIfAbsent(
             endpoint.instance(),
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/EndpointLimitFleetTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/EndpointLimitFleetTests.java
@@ -41,7 +41,7 @@
           permit = limits.get(0).reserve(endpoint, 1, MAX_WAIT_MS, now);
           limits.get(vm).holderAnswered(endpoint);
         } else {
-          permit = limits.get(vm).reserveOwnPart(endpoint, vms, MAX_WAIT_MS, now);
+          permit = limits.get(vm).reserveOwnPart(endpoint, true, vms, MAX_WAIT_MS, now);
         }
         if (permit.granted()) {
           sentMs.add(now + permit.delayMs());
@@ -104,6 +104,27 @@
     assertEquals(4.0 * END_MS / 1_000, sentMs.size(), 0.05 * 4 * END_MS / 1_000);
   }
 
+  @ParameterizedTest
+  @CsvSource({"8, 20", "95, 20", "95, 2"})
+  @DisplayName("is kept by half of the VMs that ask the holder and half that do not hear it")
+  void holderAnswersSome(int vms, double limitPerS) {
+    endpoint.recordLimit(OptionalDouble.of(limitPerS), 0);
+    EndpointLimits holder = new EndpointLimits(random::nextDouble);
+    List<EndpointLimits> unheard =
+        IntStream.range(0, vms / 2).mapToObj(i -> new EndpointLimits(random::nextDouble)).toList();
+    for (long now = 0; now < END_MS; now += 5) {
+      long at = now;
+      if (holder.reserve(endpoint, 1, 0, at).granted()) {
+        sentMs.add(at);
+      }
+      unheard.stream()
+          .filter(l -> l.reserveOwnPart(endpoint, true, vms, 5, at).granted())
+          .forEach(l -> sentMs.add(at));
+    }
+
+    assertLimitKept(limitPerS);
+  }
+
   @Test
   @DisplayName("of none lets one request in ten seconds pass")
   void limitOfNone() {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/limit/EndpointPermits.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/limit/EndpointPermits.java
@@ -119,8 +119,10 @@
   }
 
   private Permit decideAlone(Endpoint endpoint, long maxWaitMs) {
+    boolean holderKnown = ownership.holder(endpoint.id(), endpoint.entry().domain()).isPresent();
     Permit permit =
-        node.endpointLimits().reserveOwnPart(endpoint, peers.vmCount(), maxWaitMs, node.now());
+        node.endpointLimits()
+            .reserveOwnPart(endpoint, holderKnown, peers.vmCount(), maxWaitMs, node.now());
     count("alone", permit);
     return permit;
   }
