Limits: what VMs use beside a holder that does not answer them, with a margin

With half of their parts, one VM that uses all that the holder gives out and 94 that do not hear it sent 126 requests in 4 s at a limit of 20 a second, 125 allowed, and 66 at 10, 65 allowed: their times are not aligned. 0.4 leaves room for that; with whole parts 163 and 82 (EndpointLimitFleetTests.holderAnswersOne).

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointLimits.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointLimits.java
@@ -7,7 +7,7 @@
  * Decides which requests may be sent to endpoints that state a limit for all VMs together. Handles
  * limits of less than one request a second over many VMs, and traffic that enters at any of them:
  * the VM that holds an endpoint gives out its whole limit, less the part of VMs that it cannot
- * reach. A VM that gets no answer from the holder uses half of its equal part: the holder may be
+ * reach. A VM that gets no answer from the holder uses a part of its equal share: the holder may be
  * giving out the whole limit to others, without knowing that a VM does not hear it. Not
  * thread-safe: confined to one owner thread.
  */
@@ -24,7 +24,7 @@
   static final double MIN_RATE_PER_S = 0.1;
 
   /** Share of the limit that VMs use beside a holder that does not answer them. */
-  private static final double UNHEARD_SHARE = 0.5;
+  private static final double UNHEARD_SHARE = 0.4;
 
   private final Map<String, RequestSchedule> shared = new LruMap<>(MAX_ENDPOINTS);
   private final Map<String, RequestSchedule> ownPart = new LruMap<>(MAX_ENDPOINTS);
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/EndpointLimitFleetTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/EndpointLimitFleetTests.java
@@ -105,13 +105,14 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"8, 20", "95, 20", "95, 2"})
-  @DisplayName("is kept by half of the VMs that ask the holder and half that do not hear it")
-  void holderAnswersSome(int vms, double limitPerS) {
+  @CsvSource({"8, 20", "95, 20", "95, 10"})
+  @DisplayName(
+      "is kept while one VM uses all that the holder gives out, and no other hears the holder")
+  void holderAnswersOne(int vms, double limitPerS) {
     endpoint.recordLimit(OptionalDouble.of(limitPerS), 0);
     EndpointLimits holder = new EndpointLimits(random::nextDouble);
     List<EndpointLimits> unheard =
-        IntStream.range(0, vms / 2).mapToObj(i -> new EndpointLimits(random::nextDouble)).toList();
+        IntStream.range(1, vms).mapToObj(i -> new EndpointLimits(random::nextDouble)).toList();
     for (long now = 0; now < END_MS; now += 5) {
       long at = now;
       if (holder.reserve(endpoint, 1, 0, at).granted()) {
