--- a/kumquatspindle-api/src/main/java/io/kumquatspindle/api/metrics/ProcessMetrics.java
+++ b/kumquatspindle-api/src/main/java/io/kumquatspindle/api/metrics/ProcessMetrics.java
@@ -5,6 +5,7 @@
 import com.sun.management.OperatingSystemMXBean;
 import java.io.IOException;
 import java.lang.management.BufferPoolMXBean;
+import java.lang.management.GarbageCollectorMXBean;
 import java.lang.management.ManagementFactory;
 import java.lang.management.MemoryPoolMXBean;
 import java.lang.management.MemoryType;
@@ -16,10 +17,12 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 
 /** Registers gauges for the CPU time and memory use of this process. */
 public final class ProcessMetrics {
   private static final double NANOS_PER_SECOND = 1e9;
+  private static final long NANOS_PER_MS = 1_000_000;
   private static final long BYTES_PER_KB = 1024;
   private static final Path STATUS = Path.of("/proc/self/status");
 
@@ -43,6 +46,32 @@
     gauge(registry, "jvm_threads", () -> ManagementFactory.getThreadMXBean().getThreadCount());
   }
 
+  /**
+   * Returns the times that this process has used since its start.
+   *
+   * @return times in ms: of all threads, of the calling thread, of the compiler and of the garbage
+   *     collector
+   */
+  public static Map<String, LongSupplier> times() {
+    OperatingSystemMXBean os = ManagementFactory.getPlatformMXBean(OperatingSystemMXBean.class);
+    ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    return Map.of(
+        "process_cpu_ms",
+        () -> os.getProcessCpuTime() / NANOS_PER_MS,
+        "loop_cpu_ms",
+        () -> threads.getCurrentThreadCpuTime() / NANOS_PER_MS,
+        "compiler_ms",
+        ManagementFactory.getCompilationMXBean()::getTotalCompilationTime,
+        "collector_ms",
+        ProcessMetrics::collectorMs);
+  }
+
+  private static long collectorMs() {
+    return ManagementFactory.getGarbageCollectorMXBeans().stream()
+        .mapToLong(GarbageCollectorMXBean::getCollectionTime)
+        .sum();
+  }
+
   /**
    * Registers the CPU time of the currently running threads by name. Trailing digits are stripped
    * from the names, so that the threads of a pool are counted together.
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -176,7 +176,8 @@
                 ownership.fencingNumber(), ownership.heldPartitions(), permits.heldLimits()));
     scheduleEvery(DEMAND_CHECK_INTERVAL_MS, "spread", orders::scaleReplicas);
     scheduleEvery(DEMAND_CHECK_INTERVAL_MS, "prefetch", orders::prefetch);
-    ActivityLogger activity = new ActivityLogger(node.log(), node.metrics());
+    ActivityLogger activity =
+        new ActivityLogger(node.log(), node.metrics(), ProcessMetrics.times());
     scheduleEvery(
         ActivityLogger.INTERVAL_MS,
         "vitals",
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/observe/ActivityLogger.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/observe/ActivityLogger.java
@@ -4,10 +4,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 /**
  * Periodically logs the increase of the counters of internal work, so that the log shows a VM whose
- * time is taken by internal work and not by requests.
+ * time is taken by internal work and not by requests. The processor time of the whole process
+ * stands beside them, since compiler and garbage collector are in no counter.
  */
 public final class ActivityLogger {
   /** Interval of the lines, in ms; metrics are scraped as often during incident analysis. */
@@ -18,6 +20,7 @@
 
   private final EventLog log;
   private final MetricRegistry metrics;
+  private final Map<String, LongSupplier> processTimes;
   private final Map<String, Long> previousCounts = new HashMap<>();
 
   /**
@@ -25,10 +28,13 @@
    *
    * @param log destination of the lines
    * @param metrics registry of the counters
+   * @param processTimes times used by the process since its start, in ms, by name of the field
    */
-  public ActivityLogger(EventLog log, MetricRegistry metrics) {
+  public ActivityLogger(
+      EventLog log, MetricRegistry metrics, Map<String, LongSupplier> processTimes) {
     this.log = log;
     this.metrics = metrics;
+    this.processTimes = Map.copyOf(processTimes);
   }
 
   /**
@@ -44,17 +50,21 @@
             .field("peers_known", peersKnown)
             .field("peers_heard", peersReachable)
             .field("waiting", pendingRequests);
+    processTimes.forEach((name, time) -> line.field(name, increase(name, time.getAsLong())));
     metrics
         .getCounters((name, metric) -> COUNTER_PREFIXES.stream().anyMatch(name::startsWith))
         .forEach(
             (name, counter) -> {
-              long count = counter.getCount();
-              long increase = count - previousCounts.getOrDefault(name, 0L);
-              previousCounts.put(name, count);
+              long increase = increase(name, counter.getCount());
               if (increase != 0) {
                 line.field(name.replace("\"", "").replace("_total", ""), increase);
               }
             });
     line.write();
   }
+
+  private long increase(String name, long count) {
+    Long previous = previousCounts.put(name, count);
+    return previous == null ? count : count - previous;
+  }
 }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -45,6 +45,7 @@
   private final Set<String> fetched = new HashSet<>();
   private final Map<String, OrderScheduler> ordersByEndpoint = new HashMap<>();
   private final Map<String, Long> startTimes = new HashMap<>();
+  private final Map<String, Long> loadStartMs = new HashMap<>();
   private final Counter ordersSent;
   private Runnable changeListener = () -> {};
   private long lastCleanupMs;
@@ -213,6 +214,7 @@
       lastCleanupMs = now;
       ordersByEndpoint.keySet().removeIf(id -> noLongerOwned(id));
       loads.retain(node.endpoints()::contains);
+      loadStartMs.keySet().removeIf(id -> !node.endpoints().contains(id));
     }
     for (Map.Entry<String, OrderScheduler> entry : List.copyOf(ordersByEndpoint.entrySet())) {
       if (!entry.getValue().idle()) {
@@ -377,10 +379,12 @@
     switch (kind) {
       case LOADING -> {
         fetched.add(model);
+        loadStartMs.putIfAbsent(e.id(), now);
         loads.started(e.id(), new ActiveLoads.Load(model, fromStore, now + forMs));
       }
       case LOADED -> {
         if (adapter.isEmpty()) {
+          logLoadEnded(e, model, now);
           loads.ended(e.id(), now);
         }
         e.updateHolding(model, adapter, true, now);
@@ -391,6 +395,20 @@
     }
   }
 
+  private void logLoadEnded(Endpoint e, String model, long now) {
+    Long startMs = loadStartMs.remove(e.id());
+    if (startMs != null) {
+      node.log()
+          .line("load_ended")
+          .field("endpoint", e.id())
+          .field("model", model)
+          .field("known", String.valueOf(loads.loadAt(e.id(), now).isPresent()))
+          .field("took_ms", now - startMs)
+          .field("store_loads", loads.storeLoadCount(now))
+          .write();
+    }
+  }
+
   private Optional<EngineInfo> engine(String service) {
     return node.configuration().flatMap(c -> c.service(service)).flatMap(s -> s.engine());
   }
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/observe/ActivityLoggerTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/observe/ActivityLoggerTests.java
@@ -8,6 +8,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
@@ -16,6 +17,7 @@
 class ActivityLoggerTests {
   private final MetricRegistry metrics = new MetricRegistry();
   private final AtomicLong nanos = new AtomicLong();
+  private final AtomicLong cpuMs = new AtomicLong(40);
   private final TaskTimer timer = new TaskTimer(metrics, nanos::get);
 
   @Test
@@ -38,9 +40,10 @@
   void logsIncreasesOnly() {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     EventLog log = new EventLog(out, () -> 0, "vm", new Counter());
-    ActivityLogger logger = new ActivityLogger(log, metrics);
+    ActivityLogger logger = new ActivityLogger(log, metrics, Map.of("process_cpu_ms", cpuMs::get));
     metrics.counter("store_calls_total").inc(7);
     logger.write(3, 2, 1);
+    cpuMs.addAndGet(9);
     metrics.counter("peer_received_total{kind=\"digest\"}").inc(4);
     logger.write(3, 4, 0);
     log.close();
@@ -49,5 +52,7 @@
     assertTrue(lines[0].contains("\"store_calls\":7"), lines[0]);
     assertTrue(lines[1].contains("\"peer_received{kind=digest}\":4"), lines[1]);
     assertFalse(lines[1].contains("store_calls"), lines[1]);
+    assertTrue(lines[0].contains("\"process_cpu_ms\":40"), lines[0]);
+    assertTrue(lines[1].contains("\"process_cpu_ms\":9"), lines[1]);
   }
 }
