Tests: loads that pile up at a weight store which is slower than assumed

The simulated weight store slowed nothing down, so that no test had a load that takes longer than estimated.

--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/LoadSimulation.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/LoadSimulation.java
@@ -39,7 +39,11 @@
   private static final long HOT_GOAL_MS = 300;
   private static final long PLACEMENT_RETRY_MS = 1_000;
 
+  /** Capacity of a weight store that never slows loads down, in concurrent loads. */
+  private static final int UNLIMITED = Integer.MAX_VALUE;
+
   private final boolean baseline;
+  private final int storeCapacity;
   private final Random random;
   private final EndpointTable endpoints = new EndpointTable();
   private final ModelDemand demand = new ModelDemand();
@@ -54,6 +58,8 @@
   private final List<Request> waiting = new ArrayList<>();
   private final List<Request> served = new ArrayList<>();
   private final Map<String, Integer> storeLoads = new HashMap<>();
+  private final List<Long> storeLoadDurations = new ArrayList<>();
+  private int maxConcurrentStoreLoads;
   private long now;
 
   /** A request that is waiting for a model or has been served. */
@@ -80,7 +86,9 @@
     private final Set<String> held = new HashSet<>();
     private final Map<String, Long> busyUntilMs = new HashMap<>();
     private String loading = "";
-    private long loadedMs;
+    private boolean loadingFromStore;
+    private long loadStartMs;
+    private double remainingMs;
     private long evictedMs;
     private long orders;
   }
@@ -93,7 +101,21 @@
    *     to the owner of the endpoint
    */
   LoadSimulation(long seed, boolean baseline) {
+    this(seed, baseline, UNLIMITED, true);
+  }
+
+  /**
+   * Creates a simulation.
+   *
+   * @param seed seed of the arrivals
+   * @param baseline whether to simulate the baseline
+   * @param storeCapacity number of concurrent loads that the weight store serves at full speed;
+   *     beyond it each takes proportionally longer
+   * @param copies whether each rarely used model has a copy on the disk of one engine
+   */
+  LoadSimulation(long seed, boolean baseline, int storeCapacity, boolean copies) {
     this.baseline = baseline;
+    this.storeCapacity = storeCapacity;
     this.random = new Random(seed);
     Map<String, ModelInfo> models = new HashMap<>();
     for (int i = 0; i < MODELS; i++) {
@@ -105,10 +127,10 @@
     engineInfo = new EngineInfo(64, 100_000, ENGINE_MB, 8, 4, models);
     for (int e = 0; e < ENGINES; e++) {
       Set<String> disk = new HashSet<>();
-      for (int i = e; i < MODELS; i += ENGINES) {
+      for (int i = e; copies && i < MODELS; i += ENGINES) {
         disk.add("m" + i);
       }
-      if (e == 0) {
+      if (copies && e == 0) {
         disk.add("next");
       }
       Engine engine = new Engine();
@@ -171,7 +193,10 @@
   }
 
   private void step() {
-    engines.forEach(this::advanceEngine);
+    int concurrent = (int) engines.values().stream().filter(e -> e.loadingFromStore).count();
+    maxConcurrentStoreLoads = Math.max(maxConcurrentStoreLoads, concurrent);
+    double storeSpeed = Math.min(1, (double) storeCapacity / Math.max(1, concurrent));
+    engines.forEach((id, engine) -> advanceEngine(id, engine, storeSpeed));
     waiting.removeIf(this::serve);
     waiting.forEach(this::requestPlacement);
     engines.forEach(this::runScheduler);
@@ -265,7 +290,9 @@
         storeLoads.merge(order.model(), 1, Integer::sum);
       }
       engine.loading = order.model();
-      engine.loadedMs = now + (store ? STORE_MS : DISK_MS);
+      engine.loadingFromStore = store;
+      engine.loadStartMs = now;
+      engine.remainingMs = store ? STORE_MS : DISK_MS;
     } else {
       engine.held.remove(order.model());
       engine.evictedMs = now + EVICTION_MS;
@@ -273,11 +300,16 @@
     return OrderResponse.ACCEPTED;
   }
 
-  private void advanceEngine(String id, Engine engine) {
+  private void advanceEngine(String id, Engine engine, double storeSpeed) {
     engine.busyUntilMs.values().removeIf(until -> now >= until);
-    if (!engine.loading.isEmpty() && now >= engine.loadedMs) {
+    engine.remainingMs -= STEP_MS * (engine.loadingFromStore ? storeSpeed : 1);
+    if (!engine.loading.isEmpty() && engine.remainingMs <= 0) {
+      if (engine.loadingFromStore) {
+        storeLoadDurations.add(now - engine.loadStartMs);
+      }
       engine.held.add(engine.loading);
       engine.loading = "";
+      engine.loadingFromStore = false;
     }
     // Heartbeats report the held models; the disk retains the loaded ones.
     if (now % 1_200 == 0) {
@@ -307,6 +339,15 @@
     return storeLoads.values().stream().mapToInt(i -> i).sum();
   }
 
+  int maxConcurrentStoreLoads() {
+    return maxConcurrentStoreLoads;
+  }
+
+  /** Returns the durations of the loads from the weight store that ended since a time, in ms. */
+  List<Long> storeLoadDurations() {
+    return List.copyOf(storeLoadDurations);
+  }
+
   private List<Request> all() {
     List<Request> all = new ArrayList<>(served);
     all.addAll(waiting);
