Endpoints: what peers tell of a load is kept until a later entry has been read

A VM believed for 2.5 s that a model had been loaded, and then what the endpoint's entry said. A heartbeat comes 1.2 s after the load at the latest and is published up to 0.8 s later; with a read each 0.9 s the entry may be older than that belief by 0.4 s, and the model counted as missing until the read. An update about a load now ends with the first entry that is read 3 s after it, or after 6 s; one about an eviction ends after 2.5 s as before, since draining depends on it.

EndpointTableTests.loadedModelUntilLaterEntry fails without the change: the model is missing 3.8 s after its load.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Endpoint.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Endpoint.java
@@ -24,10 +24,22 @@
   static final long LOAD_VALID_MS = 400;
 
   /**
-   * Time for which an update about a model takes precedence over the entry, which may lag by a
+   * Time for which an update about an eviction takes precedence over the entry, which may lag by a
    * heartbeat.
    */
-  static final long UPDATE_VALID_MS = 2_500;
+  static final long EVICTION_VALID_MS = 2_500;
+
+  /**
+   * Time for which an update about a load takes precedence over the entry, unless a later entry is
+   * read: three heartbeats at least.
+   */
+  static final long LOAD_UPDATE_VALID_MS = 6_000;
+
+  /**
+   * Age of an update from which an entry that is read is known to be later, in ms: the heartbeat
+   * interval of 1.2 s and the longest delay of a read, {@code NodeSettings.endpointsReadDelayMs}.
+   */
+  static final long ENTRY_LAG_MS = 3_000;
 
   /** Weight of the latest outcome in the moving average of the failure rate. */
   private static final double FAILURE_WEIGHT = 0.2;
@@ -82,8 +94,9 @@
     return entry;
   }
 
-  void updateEntry(EndpointEntry newer) {
+  void updateEntry(EndpointEntry newer, long now) {
     entry = newer;
+    recentUpdates.values().removeIf(u -> now - u.atMs() >= ENTRY_LAG_MS);
   }
 
   public String id() {
@@ -298,10 +311,23 @@
       recentUpdates.keySet().removeIf(k -> k.startsWith(model + "/"));
     }
     recentUpdates.values().removeIf(n -> now >= n.untilMs());
-    recentUpdates.put(key(model, adapter), new HoldingUpdate(held, now + UPDATE_VALID_MS));
+    long validMs = held ? LOAD_UPDATE_VALID_MS : EVICTION_VALID_MS;
+    recentUpdates.put(key(model, adapter), new HoldingUpdate(held, now, now + validMs));
     onHoldingChanged.accept(model);
   }
 
+  /** Returns the models about which an entry that is read now is later than the last update. */
+  Set<String> updatedModels(long now) {
+    Set<String> names = new HashSet<>();
+    recentUpdates.forEach(
+        (key, update) -> {
+          if (now - update.atMs() >= ENTRY_LAG_MS) {
+            names.add(key.substring(0, key.indexOf('/')));
+          }
+        });
+    return names;
+  }
+
   /**
    * Returns when the update about a model expires, in ms, or {@link Long#MAX_VALUE} if there is
    * none.
@@ -377,5 +403,5 @@
     return model + "/" + adapter;
   }
 
-  private record HoldingUpdate(boolean held, long untilMs) {}
+  private record HoldingUpdate(boolean held, long atMs, long untilMs) {}
 }
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
@@ -35,16 +35,18 @@
    * one. One whose entry comes back is still bound by what it has said itself.
    *
    * @param entry the entry of the endpoint
+   * @param now current time, in ms
    */
-  public void put(EndpointEntry entry) {
+  public void put(EndpointEntry entry, long now) {
     pendingRemovals.remove(entry.id());
     Endpoint known = byId.get(entry.id());
     if (known == null || known.entry().startedAtMs() != entry.startedAtMs()) {
       byId.put(entry.id(), returnedOrNew(entry));
       holders.clear();
     } else {
+      known.updatedModels(now).forEach(holders::invalidate);
       invalidateHolders(known.entry(), entry);
-      known.updateEntry(entry);
+      known.updateEntry(entry, now);
     }
   }
 
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/DecisionScaleTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/DecisionScaleTests.java
@@ -60,7 +60,8 @@
       Set<String> disk = Set.of(model(3 * i), model(3 * i + 1), model(3 * i + 2));
       endpoints.put(
           TestEndpoints.endpoint(
-              "i-" + i, "d" + i % 9, 0, disk, model(i), model(i * i + MODELS / 2)));
+              "i-" + i, "d" + i % 9, 0, disk, model(i), model(i * i + MODELS / 2)),
+          0);
     }
     for (int vm = 0; vm < VMS; vm++) {
       Map<String, Integer> runs = new HashMap<>();
@@ -118,7 +119,7 @@
   void prefetch() {
     // Corresponds to the first start of the system: no disk has a copy.
     for (int i = 0; i < ENDPOINTS; i++) {
-      endpoints.put(TestEndpoints.endpoint("i-" + i, "d" + i % 9, 0, Set.of(), model(i)));
+      endpoints.put(TestEndpoints.endpoint("i-" + i, "d" + i % 9, 0, Set.of(), model(i)), 0);
     }
     PrefetchPlanner prefetch = new PrefetchPlanner(endpoints, new ModelDemand(), loads);
     assertWithin(
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/EndpointTableTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/EndpointTableTests.java
@@ -17,7 +17,7 @@
   @Test
   @DisplayName("defers removals after an outage until the entries had time to reappear")
   void removalAfterOutage() {
-    table.put(TestEndpoints.endpoint("e1", "west"));
+    table.put(TestEndpoints.endpoint("e1", "west"), 0);
     table.storeRecovered(1_000);
     table.remove("e1", 1_100);
 
@@ -30,7 +30,7 @@
   @Test
   @DisplayName("removes endpoints immediately while the store is available")
   void removed() {
-    table.put(TestEndpoints.endpoint("e1", "west"));
+    table.put(TestEndpoints.endpoint("e1", "west"), 0);
     table.remove("e1", 50_000);
 
     assertTrue(table.find("e1").isEmpty());
@@ -39,8 +39,8 @@
   @Test
   @DisplayName("removes endpoints that are missing from a complete list")
   void retain() {
-    table.put(TestEndpoints.endpoint("e1", "west"));
-    table.put(TestEndpoints.endpoint("e2", "west"));
+    table.put(TestEndpoints.endpoint("e1", "west"), 0);
+    table.put(TestEndpoints.endpoint("e2", "west"), 0);
     table.retain(Set.of("e2"), 50_000);
 
     assertTrue(table.find("e1").isEmpty());
@@ -50,9 +50,9 @@
   @Test
   @DisplayName("discards the state of an endpoint that restarted under the same ID")
   void restarted() {
-    table.put(TestEndpoints.endpoint("e1", "west", 1, Set.of(), "a"));
+    table.put(TestEndpoints.endpoint("e1", "west", 1, Set.of(), "a"), 0);
     table.find("e1").orElseThrow().updateHolding("b", "", true, 0);
-    table.put(TestEndpoints.endpoint("e1", "west", 2, Set.of()));
+    table.put(TestEndpoints.endpoint("e1", "west", 2, Set.of()), 0);
 
     assertFalse(table.find("e1").orElseThrow().holds("b", "", 1));
     assertFalse(table.find("e1").orElseThrow().holds("a", "", 1));
@@ -61,18 +61,18 @@
   @Test
   @DisplayName("keeps what an endpoint said of itself while its entry is gone, until it restarts")
   void announcements() {
-    table.put(TestEndpoints.endpoint("e1", "west", 1, Set.of()));
+    table.put(TestEndpoints.endpoint("e1", "west", 1, Set.of()), 0);
     Endpoint e = table.find("e1").orElseThrow();
     table.remove("e1", 50_000);
     assertTrue(table.announceLeaving(e));
     table.refuseUntil(e, 52_000);
 
-    table.put(TestEndpoints.endpoint("e1", "west", 1, Set.of()));
+    table.put(TestEndpoints.endpoint("e1", "west", 1, Set.of()), 0);
     assertEquals(List.of(), table.available(TestEndpoints.SERVICE));
     assertTrue(table.find("e1").orElseThrow().refuses(51_999));
     assertFalse(table.announceLeaving(e));
 
-    table.put(TestEndpoints.endpoint("e1", "west", 2, Set.of()));
+    table.put(TestEndpoints.endpoint("e1", "west", 2, Set.of()), 0);
     assertEquals(1, table.available(TestEndpoints.SERVICE).size());
     assertFalse(table.find("e1").orElseThrow().refuses(51_999));
   }
@@ -80,19 +80,35 @@
   @Test
   @DisplayName("gives recent updates about a model precedence over an older entry")
   void updateOverridesEntry() {
-    table.put(TestEndpoints.endpoint("e1", "west", "a"));
+    table.put(TestEndpoints.endpoint("e1", "west", "a"), 0);
     Endpoint e = table.find("e1").orElseThrow();
     e.updateHolding("a", "", false, 0);
-    table.put(TestEndpoints.endpoint("e1", "west", "a"));
+    table.put(TestEndpoints.endpoint("e1", "west", "a"), 0);
 
     assertFalse(e.holds("a", "", 100));
-    assertTrue(e.holds("a", "", Endpoint.UPDATE_VALID_MS));
+    assertTrue(e.holds("a", "", Endpoint.EVICTION_VALID_MS));
+  }
+
+  @Test
+  @DisplayName("keeps a loaded model until an entry that is later than the load has been read")
+  void loadedModelUntilLaterEntry() {
+    table.put(TestEndpoints.endpoint("e1", "west"), 0);
+    Endpoint e = table.find("e1").orElseThrow();
+    e.updateHolding("a", "", true, 0);
+
+    // A heartbeat of 1.2 s, published 0.8 s late, is read 1.8 s later at the latest.
+    assertTrue(e.holds("a", "", 3_800));
+    table.put(TestEndpoints.endpoint("e1", "west"), 1_000);
+    assertTrue(e.holds("a", "", 1_000));
+    table.put(TestEndpoints.endpoint("e1", "west"), 3_500);
+    assertFalse(e.holds("a", "", 3_500));
+    assertTrue(table.holders(TestEndpoints.SERVICE, "a", 3_500).isEmpty());
   }
 
   @Test
   @DisplayName("keeps the latest word of an endpoint on its limit, whichever comes last")
   void limitsOvertakeEachOther() {
-    table.put(TestEndpoints.endpoint("e1", "west"));
+    table.put(TestEndpoints.endpoint("e1", "west"), 0);
     Endpoint e = table.find("e1").orElseThrow();
 
     assertTrue(table.recordLimit(e, OptionalDouble.of(2), 1_000));
@@ -106,14 +122,14 @@
   @Test
   @DisplayName("keeps the limit of an endpoint whose entry lapses and comes back, not of a restart")
   void limitOfReturnedEndpoint() {
-    table.put(TestEndpoints.endpoint("e1", "west", 1, Set.of()));
+    table.put(TestEndpoints.endpoint("e1", "west", 1, Set.of()), 0);
     table.recordLimit(table.find("e1").orElseThrow(), OptionalDouble.of(2), 1_000);
     table.remove("e1", 50_000);
-    table.put(TestEndpoints.endpoint("e1", "west", 1, Set.of()));
+    table.put(TestEndpoints.endpoint("e1", "west", 1, Set.of()), 0);
 
     assertEquals(OptionalDouble.of(2), table.find("e1").orElseThrow().limitPerS());
     assertTrue(table.findInstance("e1/1").isPresent());
-    table.put(TestEndpoints.endpoint("e1", "west", 2, Set.of()));
+    table.put(TestEndpoints.endpoint("e1", "west", 2, Set.of()), 0);
     assertFalse(table.find("e1").orElseThrow().limited());
     assertTrue(table.findInstance("e1/1").isEmpty());
   }
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/LoadSimulation.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/LoadSimulation.java
@@ -136,7 +136,7 @@
       Engine engine = new Engine();
       engine.held.addAll(Set.of("hot", "warm"));
       engines.put("e" + e, engine);
-      endpoints.put(entry("e" + e, engine.held, disk));
+      endpoints.put(entry("e" + e, engine.held, disk), now);
     }
   }
 
@@ -316,7 +316,7 @@
       EndpointEntry before = endpoints.find(id).orElseThrow().entry();
       Set<String> disk = new HashSet<>(before.onDisk());
       disk.addAll(engine.held);
-      endpoints.put(entry(id, engine.held, disk));
+      endpoints.put(entry(id, engine.held, disk), now);
     }
   }
 
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementChooserTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementChooserTests.java
@@ -29,9 +29,9 @@
 
   @BeforeEach
   void endpoints() {
-    endpoints.put(TestEndpoints.endpoint("e1", "west", 0, Set.of("m"), "a", "b"));
-    endpoints.put(TestEndpoints.endpoint("e2", "west", 0, Set.of(), "a", "c"));
-    endpoints.put(TestEndpoints.endpoint("e3", "east", 0, Set.of(), "d"));
+    endpoints.put(TestEndpoints.endpoint("e1", "west", 0, Set.of("m"), "a", "b"), 0);
+    endpoints.put(TestEndpoints.endpoint("e2", "west", 0, Set.of(), "a", "c"), 0);
+    endpoints.put(TestEndpoints.endpoint("e3", "east", 0, Set.of(), "d"), 0);
   }
 
   private Optional<Endpoint> choose(String model, long now) {
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/ReplicaPolicyTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/ReplicaPolicyTests.java
@@ -19,10 +19,10 @@
 
   @BeforeEach
   void endpoints() {
-    endpoints.put(TestEndpoints.endpoint("e1", "west", "hot", "a"));
-    endpoints.put(TestEndpoints.endpoint("e2", "west", "hot", "b"));
-    endpoints.put(TestEndpoints.endpoint("e3", "east", "hot"));
-    endpoints.put(TestEndpoints.endpoint("e4", "east", "hot"));
+    endpoints.put(TestEndpoints.endpoint("e1", "west", "hot", "a"), 0);
+    endpoints.put(TestEndpoints.endpoint("e2", "west", "hot", "b"), 0);
+    endpoints.put(TestEndpoints.endpoint("e3", "east", "hot"), 0);
+    endpoints.put(TestEndpoints.endpoint("e4", "east", "hot"), 0);
     demand.addRequests("a", 1, 0);
   }
 
@@ -59,7 +59,7 @@
   void lastOfDomain() {
     addDemand("hot", 10);
     endpoints.remove("e4", NOW);
-    endpoints.put(TestEndpoints.endpoint("e5", "west", "hot"));
+    endpoints.put(TestEndpoints.endpoint("e5", "west", "hot"), 0);
 
     assertFalse(replicas.surplus(endpoint("e3"), "hot", NOW));
     assertTrue(replicas.surplus(endpoint("e1"), "hot", NOW));
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeSettings.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeSettings.java
@@ -57,7 +57,7 @@
 
   private static final int MAX_PORT = 65_535;
   private static final long HOUR_MS = 3_600_000;
-  private static final long MAX_ENDPOINTS_READ_DELAY_MS = 900;
+  private static final long MAX_ENDPOINTS_READ_DELAY_MS = 1_800;
 
   /**
    * Reads and validates a settings file.
@@ -111,8 +111,8 @@
 
   /**
    * Returns the delay between reads of the endpoints. A read that fails once, and a slow response,
-   * must not let requests go to an endpoint that leaves for too long. What peers tell of a model
-   * must stay valid until the entry has been read that a heartbeat later confirms it.
+   * must not let requests go to an endpoint that leaves for too long. What peers tell of a load
+   * stays valid until the entry has been read that a heartbeat later confirms it.
    *
    * @return time in ms
    */
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/FleetStateUpdater.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/FleetStateUpdater.java
@@ -158,7 +158,7 @@
             .field("models", e.models().size())
             .write();
       }
-      node.endpoints().put(e);
+      node.endpoints().put(e, node.now());
     } catch (MalformedRecordException | RuntimeException e) {
       node.log()
           .line("endpoint_unreadable")
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/PendingRequestsTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/PendingRequestsTests.java
@@ -40,7 +40,7 @@
     CountingRequest second = new CountingRequest("m2");
     pending.add(first);
     pending.add(second);
-    node.endpoints().put(endpoint("m1", "m2"));
+    node.endpoints().put(endpoint("m1", "m2"), node.now());
 
     pending.tick();
 
