Loads: the holder confirms a load while it lasts, and the weight store's capacity is measured

Cause: a VM counted a load for 4 s after its expected end. The weight store serves two at once there and 4 were assumed; each load beyond two makes all of them later, the late ones were forgotten, and the next ones started. Class of fault: an estimate that is believed although others use the same thing, and that a clock ends instead of its owner.

Now the digests of a VM name the loads at the endpoints that it holds, with their age, and a load counts until its holder says that it has ended or is no longer heard. How many may run at once follows from how long loads take (StoreLoadLimit): two at first, one more after each that runs at full speed, up to store_loads_at_once; less as soon as two are late. A load that is overdue is not expected at once. load_ended and load_unconfirmed tell durations, numbers and limit.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PlacementChooser.java
@@ -201,13 +201,10 @@
    * @param service name of the service
    * @param model the model
    * @param adapter name of the adapter, or an empty string
-   * @param storeLoadsAtOnce maximum number of concurrent loads from the weight store that run at
-   *     full speed
    * @param now current time, in ms
    * @return time from now, in ms
    */
-  public long readyInMs(
-      String service, ModelInfo model, String adapter, int storeLoadsAtOnce, long now) {
+  public long readyInMs(String service, ModelInfo model, String adapter, long now) {
     List<Endpoint> holders =
         endpoints.holders(service, model.name(), now).stream().filter(e -> !e.limited()).toList();
     if (!holders.isEmpty()) {
@@ -216,7 +213,7 @@
           : holders.stream().mapToLong(e -> remainingLoadMs(e, now)).min().orElse(0);
     }
     long storeMs = model.storeLoadMs();
-    if (loads.storeLoadCount(now) >= storeLoadsAtOnce) {
+    if (loads.storeLoadCount(now) >= loads.storeLoadLimit(now)) {
       storeMs += model.storeLoadMs() / 2;
     }
     long best = storeMs;
--- /dev/null
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/StoreLoadLimit.java
@@ -0,0 +1,144 @@
+package io.kumquatspindle.engine.fleet;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Estimates how many loads the weight store serves at once at full speed, from the durations of
+ * loads. Answers bursts of rarely used models at a store that is slower than assumed: beyond its
+ * capacity each load takes proportionally longer, so that starting more of them delays all. Not
+ * thread-safe: confined to one owner thread.
+ */
+final class StoreLoadLimit {
+  /**
+   * Ratio of the actual to the expected duration above which a load counts as slowed down. The end
+   * of a load of some seconds is noticed up to half a second late.
+   */
+  private static final double SLOW = 1.25;
+
+  /**
+   * Mean number of concurrent loads below which a slow load says nothing about the store: the
+   * endpoint may have started it late.
+   */
+  private static final double MIN_CONCURRENCY = 1.5;
+
+  /** Number of slow loads from which the limit is lowered; one may be due to its endpoint. */
+  private static final int MIN_SLOW_SAMPLES = 2;
+
+  /** Maximum number of loads on which the estimate is based. */
+  private static final int MAX_SAMPLES = 8;
+
+  /** Age after which the duration of a load is discarded, in ms; a few times that of a load. */
+  private static final long SAMPLE_TTL_MS = 30_000;
+
+  /** Time without slow loads after which more concurrent loads are tried again, in ms. */
+  private static final long PROBE_INTERVAL_MS = 20_000;
+
+  /** Limit before the duration of any load is known; raised by each load at full speed. */
+  private static final int INITIAL_LIMIT = 2;
+
+  private final int maximum;
+  private final Map<Observation, Sample> samples = new LinkedHashMap<>();
+  private int limit;
+  private int concurrency;
+  private long lastChangeMs;
+  private double loadMillis;
+  private long lastSlowMs = Long.MIN_VALUE / 2;
+
+  /** What is known of one load since it was first seen. */
+  static final class Observation {
+    private final long startMs;
+    private final long seenMs;
+    private final double loadMillisBefore;
+
+    private Observation(long startMs, long seenMs, double loadMillisBefore) {
+      this.startMs = startMs;
+      this.seenMs = seenMs;
+      this.loadMillisBefore = loadMillisBefore;
+    }
+  }
+
+  /**
+   * The speed of one load.
+   *
+   * @param capacity number of loads at full speed that all loads together amounted to meanwhile
+   * @param slow whether the load was slowed down by others
+   * @param atMs when the load ended or was last seen, in ms
+   */
+  private record Sample(double capacity, boolean slow, long atMs) {}
+
+  /**
+   * Creates an estimate.
+   *
+   * @param maximum the highest limit, however fast the loads are
+   */
+  StoreLoadLimit(int maximum) {
+    this.maximum = maximum;
+    this.limit = Math.min(INITIAL_LIMIT, maximum);
+  }
+
+  /** Records the number of loads in progress from the weight store. */
+  void setConcurrency(int loads, long now) {
+    loadMillis = loadMillisAt(now);
+    lastChangeMs = now;
+    concurrency = loads;
+  }
+
+  private double loadMillisAt(long now) {
+    return loadMillis + (double) concurrency * (now - lastChangeMs);
+  }
+
+  /** Begins to observe a load that started at a given time. */
+  Observation observe(long startMs, long now) {
+    return new Observation(startMs, now, loadMillisAt(now));
+  }
+
+  /** Handles that a load is still in progress; it counts once it is slow. */
+  void inProgress(Observation load, long expectedMs, long now) {
+    if (now - load.startMs > SLOW * expectedMs) {
+      add(load, expectedMs, now);
+    }
+  }
+
+  /** Handles the end of a load. */
+  void ended(Observation load, long expectedMs, long now) {
+    add(load, expectedMs, now);
+  }
+
+  private void add(Observation load, long expectedMs, long now) {
+    samples.values().removeIf(s -> now - s.atMs() > SAMPLE_TTL_MS);
+    double mean = meanConcurrency(load, now);
+    double ratio = (double) (now - load.startMs) / Math.max(1, expectedMs);
+    boolean slow = ratio > SLOW;
+    if (slow && mean < MIN_CONCURRENCY) {
+      return;
+    }
+    samples.put(load, new Sample(slow ? mean / ratio : mean, slow, now));
+    if (samples.size() > MAX_SAMPLES) {
+      samples.remove(samples.keySet().iterator().next());
+    }
+    if (samples.values().stream().filter(Sample::slow).count() >= MIN_SLOW_SAMPLES) {
+      double best = samples.values().stream().mapToDouble(Sample::capacity).max().orElse(1);
+      limit = (int) Math.max(1, Math.min(maximum, Math.round(best)));
+      lastSlowMs = slow ? now : lastSlowMs;
+    } else if (mean > limit - 0.5 && now - lastSlowMs >= PROBE_INTERVAL_MS) {
+      limit = Math.min(maximum, limit + 1);
+    }
+  }
+
+  private double meanConcurrency(Observation load, long now) {
+    return now > load.seenMs
+        ? (loadMillisAt(now) - load.loadMillisBefore) / (now - load.seenMs)
+        : concurrency;
+  }
+
+  /** Returns the number of loads that run at full speed. */
+  int limit() {
+    return limit;
+  }
+
+  /** Returns by how much each load is slowed down at present, at least 1. */
+  double slowdown() {
+    return Math.max(1, (double) concurrency / limit);
+  }
+}
--- /dev/null
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/ActiveLoadsTests.java
@@ -0,0 +1,109 @@
+package io.kumquatspindle.engine.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("Active loads")
+class ActiveLoadsTests {
+  private static final long LOAD_MS = 8_000;
+  private static final long VALID_MS = 6_000;
+
+  private final ActiveLoads loads = new ActiveLoads(4);
+
+  private static ActiveLoads.Report report(String endpoint, long elapsedMs) {
+    return new ActiveLoads.Report(endpoint, "m", true, elapsedMs, LOAD_MS);
+  }
+
+  @Test
+  @DisplayName("count a load for as long as its owner confirms it")
+  void confirmedLoad() {
+    loads.started("e", "m", true, LOAD_MS, 0);
+    for (long now = 1_200; now < 40_000; now += 1_200) {
+      loads.confirmed(report("e", now), VALID_MS, now);
+      assertEquals(1, loads.storeLoadCount(now));
+      assertTrue(loads.expire(now).isEmpty());
+    }
+
+    assertEquals(40_000, loads.ended("e", 40_000).orElseThrow().elapsedMs());
+    assertEquals(0, loads.storeLoadCount(40_000));
+  }
+
+  @Test
+  @DisplayName("discard a load whose owner is no longer heard, and name it")
+  void unconfirmedLoad() {
+    loads.confirmed(report("e", 3_000), VALID_MS, 10_000);
+
+    assertEquals(List.of(), loads.expire(15_999));
+    assertEquals("e", loads.expire(16_000).get(0).endpoint());
+    assertEquals(0, loads.storeLoadCount(16_000));
+  }
+
+  @Test
+  @DisplayName("report the loads of this VM only, and only while it confirms them")
+  void ownReports() {
+    loads.started("own", "m", true, LOAD_MS, 0);
+    loads.started("other", "m", true, LOAD_MS, 0);
+    loads.confirmedByOwner("own", 1_000, 500);
+
+    assertEquals(List.of(report("own", 600)), loads.ownReports(600));
+    assertEquals(List.of(), loads.ownReports(1_600));
+  }
+
+  @Test
+  @DisplayName("do not expect an overdue load to end at once")
+  void overdueLoad() {
+    loads.started("e", "m", true, LOAD_MS, 0);
+    loads.confirmedByOwner("e", 1_000, 20_000);
+
+    assertTrue(loads.loadAt("e", 20_000).orElseThrow().untilMs() >= 25_000);
+  }
+
+  @Test
+  @DisplayName("that take longer together than alone lower the number that may start")
+  void limitFollowsDurations() {
+    int limit = loads.storeLoadLimit(0);
+    for (String e : List.of("a", "b", "c", "d")) {
+      loads.started(e, "m", true, LOAD_MS, 0);
+    }
+    for (long now = 0; now <= 4 * LOAD_MS; now += 1_000) {
+      for (String e : List.of("a", "b", "c", "d")) {
+        loads.confirmed(report(e, now), VALID_MS, now);
+      }
+      limit = loads.storeLoadLimit(now);
+    }
+
+    assertEquals(1, limit);
+  }
+
+  @Test
+  @DisplayName("that run at full speed raise the number that may start, up to the setting")
+  void limitRises() {
+    for (long now = 0; now < 10 * LOAD_MS; now += LOAD_MS) {
+      int atOnce = loads.storeLoadLimit(now);
+      for (int i = 0; i < atOnce; i++) {
+        loads.started("e" + i, "m", true, LOAD_MS, now);
+      }
+      for (int i = 0; i < atOnce; i++) {
+        loads.ended("e" + i, now + LOAD_MS);
+      }
+    }
+
+    assertEquals(4, loads.storeLoadLimit(10 * LOAD_MS));
+  }
+
+  @Test
+  @DisplayName("of which only one is late do not lower the number: its endpoint may be slow")
+  void singleSlowLoad() {
+    int before = loads.storeLoadLimit(0);
+    loads.started("slow", "m", true, LOAD_MS, 0);
+    loads.started("e", "m", true, LOAD_MS, 0);
+    loads.ended("e", LOAD_MS);
+    loads.ended("slow", 3 * LOAD_MS);
+
+    assertTrue(loads.storeLoadLimit(3 * LOAD_MS) >= before);
+  }
+}
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/DecisionScaleTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/DecisionScaleTests.java
@@ -39,7 +39,7 @@
 
   private final EndpointTable endpoints = new EndpointTable();
   private final ModelDemand demand = new ModelDemand();
-  private final ActiveLoads loads = new ActiveLoads();
+  private final ActiveLoads loads = new ActiveLoads(4);
   private final ActiveRequests running = new ActiveRequests();
   private final LoadQueues queues = new LoadQueues();
   private final ReplicaPolicy replicas = new ReplicaPolicy(endpoints, demand, loads);
@@ -111,7 +111,7 @@
         100,
         () ->
             chooser.readyInMs(
-                TestEndpoints.SERVICE, engine.models().get(model((int) (++now))), "", 4, now));
+                TestEndpoints.SERVICE, engine.models().get(model((int) (++now))), "", now));
   }
 
   @Test
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/LoadSimulation.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/LoadSimulation.java
@@ -47,7 +47,7 @@
   private final Random random;
   private final EndpointTable endpoints = new EndpointTable();
   private final ModelDemand demand = new ModelDemand();
-  private final ActiveLoads loads = new ActiveLoads();
+  private final ActiveLoads loads = new ActiveLoads(4);
   private final LoadQueues queues = new LoadQueues();
   private final ActiveRequests running = new ActiveRequests();
   private final ReplicaPolicy replicas = new ReplicaPolicy(endpoints, demand, loads);
@@ -232,6 +232,7 @@
     Endpoint e = endpoints.find(id).orElseThrow();
     OrderContext context = new Context(e, engine);
     engine.scheduler.expireRequests(now - 3_000);
+    engine.scheduler.loading().ifPresent(m -> loads.confirmedByOwner(id, 1_000, now));
     engine
         .scheduler
         .next(context, now)
@@ -260,10 +261,9 @@
     switch (c.kind()) {
       case LOADING -> {
         long ms = context.loadMs(c.model());
-        loads.started(e.id(), new ActiveLoads.Load(c.model(), ms == STORE_MS, now + ms));
+        loads.started(e.id(), c.model(), ms == STORE_MS, ms, now);
       }
-      case LOADING_FROM_STORE ->
-          loads.started(e.id(), new ActiveLoads.Load(c.model(), true, now + STORE_MS));
+      case LOADING_FROM_STORE -> loads.started(e.id(), c.model(), true, STORE_MS, now);
       case LOADED -> {
         loads.ended(e.id(), now);
         e.updateHolding(c.model(), "", true, now);
@@ -380,7 +380,7 @@
 
     @Override
     public boolean mayLoad(String model) {
-      return loadMs(model) < STORE_MS || loads.storeLoadCount(now) < 4;
+      return loadMs(model) < STORE_MS || loads.mayStartFromStore(requestRate(model), now);
     }
 
     @Override
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementChooserTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementChooserTests.java
@@ -20,7 +20,7 @@
 class PlacementChooserTests {
   private final EndpointTable endpoints = new EndpointTable();
   private final ModelDemand demand = new ModelDemand();
-  private final ActiveLoads loads = new ActiveLoads();
+  private final ActiveLoads loads = new ActiveLoads(4);
   private final ActiveRequests running = new ActiveRequests();
   private final LoadQueues queues = new LoadQueues();
   private final ReplicaPolicy replicas = new ReplicaPolicy(endpoints, demand, loads);
@@ -76,7 +76,7 @@
   @Test
   @DisplayName("joins a load in progress instead of starting a second one")
   void joinsLoad() {
-    loads.started("e2", new ActiveLoads.Load("n", true, 6_000));
+    loads.started("e2", "n", true, 6_000, 0);
     assertEquals("e2", choose("n", 100).orElseThrow().id());
   }
 
@@ -84,7 +84,7 @@
   @DisplayName("loads an adapter at a holder of its model that is not busy with another load")
   void adapterBesideLoad() {
     for (String busy : List.of("e1", "e2")) {
-      loads.started(busy, new ActiveLoads.Load("n", true, 6_000));
+      loads.started(busy, "n", true, 6_000, 0);
       EngineInfo engine = TestEndpoints.engineInfo("a", "b", "c", "n");
       Endpoint chosen =
           chooser
@@ -98,14 +98,13 @@
   @Test
   @DisplayName("expects an adapter only after the load that keeps each holder of its model busy")
   void adapterBehindLoads() {
-    loads.started("e1", new ActiveLoads.Load("n", true, 6_000));
+    loads.started("e1", "n", true, 6_000, 0);
     EngineInfo engine = TestEndpoints.engineInfo("a", "b", "c", "n");
+    assertEquals(0, chooser.readyInMs(TestEndpoints.SERVICE, engine.models().get("a"), "x", 100));
+    loads.started("e2", "n", true, 5_000, 0);
     assertEquals(
-        0, chooser.readyInMs(TestEndpoints.SERVICE, engine.models().get("a"), "x", 4, 100));
-    loads.started("e2", new ActiveLoads.Load("n", true, 5_000));
-    assertEquals(
-        4_900, chooser.readyInMs(TestEndpoints.SERVICE, engine.models().get("a"), "x", 4, 100));
-    assertEquals(0, chooser.readyInMs(TestEndpoints.SERVICE, engine.models().get("a"), "", 4, 100));
+        4_900, chooser.readyInMs(TestEndpoints.SERVICE, engine.models().get("a"), "x", 100));
+    assertEquals(0, chooser.readyInMs(TestEndpoints.SERVICE, engine.models().get("a"), "", 100));
   }
 
   @Test
@@ -140,8 +139,8 @@
   @Test
   @DisplayName("does not count loads of removed endpoints as loads from the weight store")
   void loadsOfRemovedEndpoints() {
-    loads.started("e1", new ActiveLoads.Load("n", true, 6_000));
-    loads.started("gone", new ActiveLoads.Load("m", true, 6_000));
+    loads.started("e1", "n", true, 6_000, 0);
+    loads.started("gone", "m", true, 6_000, 0);
     loads.retain(endpoints::contains);
 
     assertEquals(1, loads.storeLoadCount(100));
@@ -181,7 +180,7 @@
   void onlyHolderIsLimited() {
     EngineInfo engine = TestEndpoints.engineInfo("a", "b", "c", "d");
     ModelInfo model = engine.models().get("c");
-    assertEquals(0, chooser.readyInMs(TestEndpoints.SERVICE, model, "", 4, 0));
+    assertEquals(0, chooser.readyInMs(TestEndpoints.SERVICE, model, "", 0));
     endpoints.recordLimit(endpoints.find("e2").orElseThrow(), OptionalDouble.of(2), 0);
 
     assertNotEquals("e2", choose("c", 0).orElseThrow().id());
@@ -191,7 +190,7 @@
             .choose(TestEndpoints.SERVICE, engine, "c", "a1", "west", Set.of(), 0)
             .orElseThrow()
             .id());
-    assertEquals(model.storeLoadMs(), chooser.readyInMs(TestEndpoints.SERVICE, model, "", 4, 0));
+    assertEquals(model.storeLoadMs(), chooser.readyInMs(TestEndpoints.SERVICE, model, "", 0));
     assertTrue(
         replicas.replicaNeeded(endpoints.find("e3").orElseThrow(), "c", model.storeLoadMs(), 0));
   }
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/ReplicaPolicyTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/ReplicaPolicyTests.java
@@ -14,7 +14,7 @@
 
   private final EndpointTable endpoints = new EndpointTable();
   private final ModelDemand demand = new ModelDemand();
-  private final ActiveLoads loads = new ActiveLoads();
+  private final ActiveLoads loads = new ActiveLoads(4);
   private final ReplicaPolicy replicas = new ReplicaPolicy(endpoints, demand, loads);
 
   @BeforeEach
@@ -77,7 +77,7 @@
   @DisplayName("of a rarely used model are not needed twice, even while the first is being loaded")
   void rareOnce() {
     assertTrue(replicas.replicaNeeded(endpoint("e1"), "x", 1_000, NOW));
-    loads.started("e2", new ActiveLoads.Load("x", false, NOW + 1_000));
+    loads.started("e2", "x", false, 1_000, NOW);
     assertFalse(replicas.replicaNeeded(endpoint("e1"), "x", 1_000, NOW));
   }
 
@@ -85,7 +85,7 @@
   @DisplayName("of a model in high demand do not count if this endpoint would be ready sooner")
   void hotSooner() {
     addDemand("x", 5);
-    loads.started("e2", new ActiveLoads.Load("x", true, NOW + 6_000));
+    loads.started("e2", "x", true, 6_000, NOW);
 
     assertTrue(replicas.replicaNeeded(endpoint("e1"), "x", 1_000, NOW));
     assertFalse(replicas.replicaNeeded(endpoint("e1"), "x", 6_000, NOW));
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.kumquatspindle.api.fleet.FleetConfiguration;
 import io.kumquatspindle.api.time.MonotonicClock;
+import io.kumquatspindle.engine.fleet.ActiveLoads;
 import io.kumquatspindle.engine.fleet.ActiveRequests;
 import io.kumquatspindle.engine.fleet.EndpointLimits;
 import io.kumquatspindle.engine.fleet.EndpointTable;
@@ -35,6 +36,7 @@
   private final ModelDemand demand = new ModelDemand();
   private final ActiveRequests activeRequests = new ActiveRequests();
   private final LoadQueues loadQueues = new LoadQueues();
+  private final ActiveLoads activeLoads;
   private final PromptQuarantine promptQuarantine = new PromptQuarantine();
   private final EndpointLimits endpointLimits = new EndpointLimits(new Random()::nextDouble);
   private final TaskTimer taskTimer;
@@ -66,6 +68,7 @@
     this.log = log;
     this.metrics = metrics;
     this.taskTimer = new TaskTimer(metrics, System::nanoTime);
+    this.activeLoads = new ActiveLoads(settings.storeLoadsAtOnce());
     this.startedMs = clock.nowMs();
   }
 
@@ -113,6 +116,10 @@
     return loadQueues;
   }
 
+  public ActiveLoads activeLoads() {
+    return activeLoads;
+  }
+
   public PromptQuarantine promptQuarantine() {
     return promptQuarantine;
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/EndpointContext.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/EndpointContext.java
@@ -2,7 +2,6 @@
 
 import io.kumquatspindle.api.fleet.EngineInfo;
 import io.kumquatspindle.api.fleet.ModelInfo;
-import io.kumquatspindle.engine.fleet.ActiveLoads;
 import io.kumquatspindle.engine.fleet.Endpoint;
 import io.kumquatspindle.engine.fleet.OrderContext;
 import io.kumquatspindle.engine.fleet.OrderScheduler;
@@ -15,7 +14,6 @@
   private final NodeContext node;
   private final PartitionOwnership ownership;
   private final ReplicaPolicy replicaPolicy;
-  private final ActiveLoads loads;
   private final Endpoint endpoint;
   private final OrderScheduler orders;
   private final EngineInfo engine;
@@ -24,14 +22,12 @@
       NodeContext node,
       PartitionOwnership ownership,
       ReplicaPolicy replicaPolicy,
-      ActiveLoads loads,
       Endpoint endpoint,
       OrderScheduler orders,
       EngineInfo engine) {
     this.node = node;
     this.ownership = ownership;
     this.replicaPolicy = replicaPolicy;
-    this.loads = loads;
     this.endpoint = endpoint;
     this.orders = orders;
     this.engine = engine;
@@ -60,11 +56,7 @@
   public boolean mayLoad(String model) {
     ModelInfo info = engine.models().get(model);
     boolean fromStore = loadMs(model) == info.storeLoadMs();
-    // Models in high demand may use twice the limit, so that their loads do not wait behind loads
-    // of models that a single caller requested.
-    int factor = node.demand().rate(model, node.now()) >= ReplicaPolicy.HOT_PER_S ? 2 : 1;
-    return !fromStore
-        || loads.storeLoadCount(node.now()) < factor * node.settings().storeLoadsAtOnce();
+    return !fromStore || node.activeLoads().mayStartFromStore(requestRate(model), node.now());
   }
 
   @Override
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -29,6 +29,12 @@
   /** Age after which a load request expires unless it is repeated, in ms. */
   private static final long LOAD_REQUEST_TTL_MS = 3_000;
 
+  /**
+   * Time for which a load at an endpoint that this VM holds counts after its last confirmation, in
+   * ms; longer than the interval of the confirmations.
+   */
+  private static final long OWN_LOAD_VALID_MS = 1_000;
+
   /** Interval for dropping endpoints gone or held elsewhere, in ms; as the group tick's. */
   private static final long CLEANUP_INTERVAL_MS = 100;
 
@@ -37,7 +43,7 @@
   private final Peers peers;
   private final PeerTransport transport;
   private final EngineClient engines;
-  private final ActiveLoads loads = new ActiveLoads();
+  private final ActiveLoads loads;
   private final ReplicaPolicy replicaPolicy;
   private final PlacementChooser chooser;
   private final PrefetchPlanner prefetch;
@@ -45,7 +51,6 @@
   private final Set<String> fetched = new HashSet<>();
   private final Map<String, OrderScheduler> ordersByEndpoint = new HashMap<>();
   private final Map<String, Long> startTimes = new HashMap<>();
-  private final Map<String, Long> loadStartMs = new HashMap<>();
   private final Counter ordersSent;
   private Runnable changeListener = () -> {};
   private long lastCleanupMs;
@@ -70,6 +75,7 @@
     this.peers = peers;
     this.transport = transport;
     this.engines = engines;
+    this.loads = node.activeLoads();
     this.replicaPolicy = new ReplicaPolicy(node.endpoints(), node.demand(), loads);
     this.chooser =
         new PlacementChooser(
@@ -137,8 +143,7 @@
   @Override
   public long readyInMs(String service, String model, String adapter) {
     ModelInfo info = engine(service).map(e -> e.models().get(model)).orElse(null);
-    int atOnce = node.settings().storeLoadsAtOnce();
-    return info == null ? 0 : chooser.readyInMs(service, info, adapter, atOnce, node.now());
+    return info == null ? 0 : chooser.readyInMs(service, info, adapter, node.now());
   }
 
   @Override
@@ -214,10 +219,14 @@
       lastCleanupMs = now;
       ordersByEndpoint.keySet().removeIf(id -> noLongerOwned(id));
       loads.retain(node.endpoints()::contains);
-      loadStartMs.keySet().removeIf(id -> !node.endpoints().contains(id));
+      loads.expire(now).forEach(l -> logLoad("load_unconfirmed", l));
     }
     for (Map.Entry<String, OrderScheduler> entry : List.copyOf(ordersByEndpoint.entrySet())) {
       if (!entry.getValue().idle()) {
+        entry
+            .getValue()
+            .loading()
+            .ifPresent(m -> loads.confirmedByOwner(entry.getKey(), OWN_LOAD_VALID_MS, now));
         entry.getValue().expireRequests(now - LOAD_REQUEST_TTL_MS);
         node.endpoints().find(entry.getKey()).ifPresent(e -> runNextStep(e, entry.getValue()));
       }
@@ -239,7 +248,7 @@
   }
 
   private OrderContext context(Endpoint e, OrderScheduler orders, EngineInfo engine) {
-    return new EndpointContext(node, ownership, replicaPolicy, loads, e, orders, engine);
+    return new EndpointContext(node, ownership, replicaPolicy, e, orders, engine);
   }
 
   /**
@@ -269,7 +278,7 @@
         continue;
       }
       // A load blocks all other orders of its endpoint for seconds, so demand lowers the limit.
-      int maxLoads = node.demand().hasDemand() ? 1 : node.settings().storeLoadsAtOnce();
+      int maxLoads = node.demand().hasDemand() ? 1 : loads.storeLoadLimit(now);
       if (loads.storeLoadCount(now) >= maxLoads) {
         return;
       }
@@ -281,7 +290,7 @@
                 m -> {
                   node.log().line("prefetch").field("endpoint", e.id()).field("model", m).write();
                   orders.requestLoad(m, "", now + ReplicaScaler.GOAL_MS, now);
-                  runNextStep(e, orders);
+                              runNextStep(e, orders);
                 });
       }
     }
@@ -379,13 +388,11 @@
     switch (kind) {
       case LOADING -> {
         fetched.add(model);
-        loadStartMs.putIfAbsent(e.id(), now);
-        loads.started(e.id(), new ActiveLoads.Load(model, fromStore, now + forMs));
+        loads.started(e.id(), model, fromStore, forMs, now);
       }
       case LOADED -> {
         if (adapter.isEmpty()) {
-          logLoadEnded(e, model, now);
-          loads.ended(e.id(), now);
+          loads.ended(e.id(), now).ifPresent(l -> logLoad("load_ended", l));
         }
         e.updateHolding(model, adapter, true, now);
         changeListener.run();
@@ -395,18 +402,29 @@
     }
   }
 
-  private void logLoadEnded(Endpoint e, String model, long now) {
-    Long startMs = loadStartMs.remove(e.id());
-    if (startMs != null) {
-      node.log()
-          .line("load_ended")
-          .field("endpoint", e.id())
-          .field("model", model)
-          .field("known", String.valueOf(loads.loadAt(e.id(), now).isPresent()))
-          .field("took_ms", now - startMs)
-          .field("store_loads", loads.storeLoadCount(now))
-          .write();
-    }
+  /**
+   * Handles that a peer reports the loads in progress at the endpoints that it holds.
+   *
+   * @param reports the loads
+   */
+  public void onPeerLoads(List<ActiveLoads.Report> reports) {
+    long now = node.now();
+    reports.stream()
+        .filter(r -> node.endpoints().contains(r.endpoint()))
+        .forEach(r -> loads.confirmed(r, peers.peerTimeoutMs(), now));
+  }
+
+  private void logLoad(String event, ActiveLoads.Report load) {
+    node.log()
+        .line(event)
+        .field("endpoint", load.endpoint())
+        .field("model", load.model())
+        .field("from_store", String.valueOf(load.fromStore()))
+        .field("took_ms", load.elapsedMs())
+        .field("expected_ms", load.expectedMs())
+        .field("store_loads", loads.storeLoadCount(node.now()))
+        .field("store_limit", loads.storeLoadLimit(node.now()))
+        .write();
   }
 
   private Optional<EngineInfo> engine(String service) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/NodeMessage.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/NodeMessage.java
@@ -1,6 +1,8 @@
 package io.kumquatspindle.node.peer;
 
+import io.kumquatspindle.engine.fleet.ActiveLoads;
 import io.kumquatspindle.engine.fleet.PromptQuarantine;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Set;
@@ -36,6 +38,7 @@
    * @param crashes evidence for the parts of prompts that the sender has quarantined, by crash
    * @param vouched parts of prompts that are sound although a VM suspects them
    * @param limits limits of the endpoints that the sender holds
+   * @param loads loads in progress at the endpoints that the sender holds
    */
   record Digest(
       long process,
@@ -52,7 +55,8 @@
       int heard,
       Map<String, PromptQuarantine.Evidence> crashes,
       Set<String> vouched,
-      Set<Limit> limits)
+      Set<Limit> limits,
+      List<ActiveLoads.Report> loads)
       implements NodeMessage {}
 
   /**
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerCodec.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerCodec.java
@@ -1,9 +1,12 @@
 package io.kumquatspindle.node.peer;
 
+import io.kumquatspindle.engine.fleet.ActiveLoads;
 import io.kumquatspindle.engine.fleet.PromptQuarantine;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Set;
@@ -53,6 +56,7 @@
         for (NodeMessage.Limit l : d.limits()) {
           packLimit(p, l);
         }
+        packLoads(p, d.loads());
       } else if (message instanceof NodeMessage.Known k) {
         packTexts(p.packInt(KNOWN), k.addresses());
       } else if (message instanceof NodeMessage.Crash c) {
@@ -77,6 +81,29 @@
     }
   }
 
+  private static void packLoads(MessagePacker p, List<ActiveLoads.Report> loads)
+      throws IOException {
+    p.packArrayHeader(loads.size());
+    for (ActiveLoads.Report l : loads) {
+      p.packString(l.endpoint()).packString(l.model()).packBoolean(l.fromStore());
+      p.packLong(l.elapsedMs()).packLong(l.expectedMs());
+    }
+  }
+
+  private static List<ActiveLoads.Report> unpackLoads(MessageUnpacker u) throws IOException {
+    List<ActiveLoads.Report> loads = new ArrayList<>();
+    for (int n = u.unpackArrayHeader(); n > 0; n--) {
+      loads.add(
+          new ActiveLoads.Report(
+              u.unpackString(),
+              u.unpackString(),
+              u.unpackBoolean(),
+              u.unpackLong(),
+              u.unpackLong()));
+    }
+    return loads;
+  }
+
   private static void packLimit(MessagePacker p, NodeMessage.Limit l) throws IOException {
     p.packString(l.endpoint()).packBoolean(l.perS().isPresent());
     p.packDouble(l.perS().orElse(0)).packLong(l.ageMs());
@@ -181,6 +208,7 @@
         limits.add(unpackLimit(u));
       }
     }
+    List<ActiveLoads.Report> loads = u.hasNext() ? unpackLoads(u) : List.of();
     return new NodeMessage.Digest(
         process,
         address,
@@ -196,7 +224,8 @@
         heard,
         crashes,
         vouched,
-        limits);
+        limits,
+        loads);
   }
 
   private static NodeMessage.PermitReply unpackPermitReply(MessageUnpacker u) throws IOException {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
@@ -248,7 +248,7 @@
    *
    * @return time in ms
    */
-  long peerTimeoutMs() {
+  public long peerTimeoutMs() {
     return MISSED_DIGESTS_LIMIT * roundsPerCycle() * DIGEST_INTERVAL_MS;
   }
 
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaEnforcer.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/QuotaEnforcer.java
@@ -255,7 +255,8 @@
         peers.reachableCount(),
         node.promptQuarantine().evidence(node.now()),
         node.promptQuarantine().vouched(node.now()),
-        limits);
+        limits,
+        node.activeLoads().ownReports(node.now()));
   }
 
   private DistributedTokenBucket quota(CustomerInfo customer) {
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/limit/EndpointPermitsTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/limit/EndpointPermitsTests.java
@@ -85,8 +85,7 @@
                 5,
                 List.of(),
                 Set.of(),
-                Set.of()),
-            0);
+                Set.of()), 0);
     endpoint = node.endpoints().find("e").orElseThrow();
     hear(HOLDER, Set.of(0, 1));
     hear(OTHER, Set.of());
@@ -116,7 +115,8 @@
             3,
             Map.of(),
             Set.of(),
-            Set.of());
+            Set.of(),
+            List.of());
     peers.onDigest(digest);
     ownership.onDigest(digest);
   }
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/DigestScaleTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/DigestScaleTests.java
@@ -107,7 +107,8 @@
             heard,
             Map.of(),
             Set.of(),
-            Set.of()));
+            Set.of(),
+            List.of()));
   }
 
   private void sendDigestsFor(int seconds) {
@@ -285,6 +286,7 @@
         1_000,
         Map.of(),
         Set.of(),
-        Set.of());
+        Set.of(),
+        List.of());
   }
 }
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeerCodecTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeerCodecTests.java
@@ -3,9 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.kumquatspindle.engine.fleet.ActiveLoads;
 import io.kumquatspindle.engine.fleet.PromptQuarantine;
 import java.io.IOException;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Set;
@@ -36,7 +38,8 @@
             7,
             Map.of("e/1", new PromptQuarantine.Evidence(Set.of("5c", "e4"), 600_000)),
             Set.of("e4"),
-            Set.of(new NodeMessage.Limit("e/1", OptionalDouble.of(2.5), 40))),
+            Set.of(new NodeMessage.Limit("e/1", OptionalDouble.of(2.5), 40)),
+            List.of(new ActiveLoads.Report("e", "m", true, 9_500, 7_800))),
         new NodeMessage.Limit("e/1", OptionalDouble.empty(), 0),
         new NodeMessage.PermitRequest(
             "10.0.0.1:7600", 3, new NodeMessage.Limit("e/1", OptionalDouble.of(0), 9), 300),
@@ -55,8 +58,9 @@
   }
 
   @ParameterizedTest
-  @ValueSource(ints = {1, 3})
-  @DisplayName("reads the digest of an earlier version, without limits or evidence of crashes")
+  @ValueSource(ints = {1, 2, 4})
+  @DisplayName(
+      "reads the digest of an earlier version, without loads, limits or evidence of crashes")
   void earlierVersion(int missingFields) throws IOException {
     NodeMessage.Digest digest =
         new NodeMessage.Digest(
@@ -74,7 +78,8 @@
             7,
             Map.of(),
             Set.of(),
-            Set.of());
+            Set.of(),
+            List.of());
     byte[] encoded = PeerCodec.encode(digest);
     byte[] earlier = Arrays.copyOf(encoded, encoded.length - missingFields);
 
