Timers: one timer for all periodic tasks of a VM, short intervals only while there is work

A VM woke its event loop 120 times a second at rest: two checks each 20 ms for requests and orders that were not there, and five other timers. They share a timer that ticks ten times a second at multiples of the wall clock, and the checks run each 20 ms while they have work.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -25,6 +25,7 @@
 import io.kumquatspindle.node.port.HeaderCodec;
 import io.kumquatspindle.node.port.RecordDecoder;
 import io.kumquatspindle.node.port.RecordStore;
+import io.kumquatspindle.node.time.PeriodicTasks;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.OutputStream;
@@ -42,8 +43,11 @@
    */
   private static final long CONFIGURATION_READ_DELAY_MS = 150;
 
-  /** Interval of the checks of orders and of waiting requests, in ms. */
-  private static final long TICK_INTERVAL_MS = 20;
+  /** Interval of the checks of orders and of waiting requests while there are any, in ms. */
+  private static final long WORK_INTERVAL_MS = 20;
+
+  /** Interval of the checks whether the last requests have ended during a shutdown, in ms. */
+  private static final long DRAIN_CHECK_INTERVAL_MS = 20;
 
   /** Interval of the checks for models with growing demand, in ms. */
   private static final long DEMAND_CHECK_INTERVAL_MS = 300;
@@ -75,6 +79,7 @@
   private final TopicReader configurationReader;
   private final TopicReader endpointReader;
   private final CrashRecords crashRecords;
+  private final PeriodicTasks periodicTasks;
   private Set<String> silentDomains = Set.of();
 
   /**
@@ -117,6 +122,11 @@
     // Runs as a separate task: a change caused by a request must not be handled before that request
     // has been added to the waiting ones.
     orders.setChangeListener(() -> node.loop().execute(pendingRequests::tick));
+    periodicTasks =
+        new PeriodicTasks(
+            node::schedule, clock::nowMs, System::currentTimeMillis, WORK_INTERVAL_MS);
+    orders.setWorkListener(periodicTasks::wake);
+    pendingRequests.setWorkListener(periodicTasks::wake);
     fleetState = new FleetStateUpdater(node, adapter.decoder(), quotas::onConfiguration);
     configurationReader =
         new TopicReader(
@@ -165,30 +175,34 @@
     if (!node.settings().firstStart()) {
       crashRecords.read();
     }
-    scheduleEvery(GROUP_CHECK_INTERVAL_MS, "group", this::checkGroup);
-    scheduleEvery(TICK_INTERVAL_MS, "waits", pendingRequests::tick);
-    scheduleEvery(TICK_INTERVAL_MS, "orders", orders::tick);
-    scheduleEvery(
+    every(GROUP_CHECK_INTERVAL_MS, "group", this::checkGroup);
+    periodicTasks.whileWorking(pendingRequests::hasWork, timed("waits", pendingRequests::tick));
+    periodicTasks.whileWorking(orders::hasWork, timed("orders", orders::tick));
+    every(
         Peers.DIGEST_INTERVAL_MS,
         "tell",
         () ->
             quotas.sendDigests(
                 ownership.fencingNumber(), ownership.heldPartitions(), permits.heldLimits()));
-    scheduleEvery(DEMAND_CHECK_INTERVAL_MS, "spread", orders::scaleReplicas);
-    scheduleEvery(DEMAND_CHECK_INTERVAL_MS, "prefetch", orders::prefetch);
+    every(DEMAND_CHECK_INTERVAL_MS, "spread", orders::scaleReplicas);
+    every(DEMAND_CHECK_INTERVAL_MS, "prefetch", orders::prefetch);
     ActivityLogger activity =
         new ActivityLogger(node.log(), node.metrics(), ProcessMetrics.times());
-    scheduleEvery(
+    every(
         ActivityLogger.INTERVAL_MS,
         "vitals",
         () ->
             activity.write(
                 peers.vmCount() - 1, peers.reachableCount(), pendingRequests.pendingCount()));
+    periodicTasks.start();
+  }
+
+  private void every(long intervalMs, String taskName, Runnable task) {
+    periodicTasks.every(intervalMs, timed(taskName, task));
   }
 
-  private void scheduleEvery(long intervalMs, String taskName, Runnable task) {
-    Runnable timed = () -> node.taskTimer().run(taskName, () -> runAndLogErrors(task));
-    node.loop().scheduleWithFixedDelay(timed, intervalMs, intervalMs, TimeUnit.MILLISECONDS);
+  private Runnable timed(String taskName, Runnable task) {
+    return () -> node.taskTimer().run(taskName, () -> runAndLogErrors(task));
   }
 
   private void runAndLogErrors(Runnable task) {
@@ -296,7 +310,7 @@
       node.schedule(LAST_ANSWERS_MS, stopped::countDown);
       return;
     }
-    node.schedule(TICK_INTERVAL_MS, () -> drain(startMs));
+    node.schedule(DRAIN_CHECK_INTERVAL_MS, () -> drain(startMs));
   }
 
   /** Logs that the settings file has changed. The change takes effect at the next start. */
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -53,6 +53,7 @@
   private final Map<String, Long> startTimes = new HashMap<>();
   private final Counter ordersSent;
   private Runnable changeListener = () -> {};
+  private Runnable workListener = () -> {};
   private long lastCleanupMs;
 
   /**
@@ -94,6 +95,25 @@
     changeListener = listener;
   }
 
+  /**
+   * Sets the listener that is called when a load has been requested, so that {@link #tick} has
+   * work.
+   *
+   * @param listener the listener, called on the event loop
+   */
+  public void setWorkListener(Runnable listener) {
+    workListener = listener;
+  }
+
+  /**
+   * Returns whether {@link #tick} has work.
+   *
+   * @return whether loads are requested or in progress at endpoints that this VM holds
+   */
+  public boolean hasWork() {
+    return ordersByEndpoint.values().stream().anyMatch(orders -> !orders.idle());
+  }
+
   @Override
   public void requestLoad(
       String service, String model, String adapter, long goalMs, Map<String, Integer> attempts) {
@@ -188,6 +208,7 @@
         orders.requestLoad(model, "", goalMs, node.now());
       }
       orders.requestLoad(model, adapter, goalMs, node.now());
+      workListener.run();
       runNextStep(e.get(), orders);
     }
   }
@@ -290,7 +311,8 @@
                 m -> {
                   node.log().line("prefetch").field("endpoint", e.id()).field("model", m).write();
                   orders.requestLoad(m, "", now + ReplicaScaler.GOAL_MS, now);
-                              runNextStep(e, orders);
+                  workListener.run();
+                  runNextStep(e, orders);
                 });
       }
     }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/PendingRequests.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/PendingRequests.java
@@ -38,6 +38,7 @@
   private final Map<Key, Queue> queues = new LinkedHashMap<>();
   private final UnmetLoadRequests unmetLoads = new UnmetLoadRequests();
   private int pendingCount;
+  private Runnable workListener = () -> {};
 
   private record Key(String service, String model, String adapter) {
     private String artifact() {
@@ -63,6 +64,24 @@
     this.loader = loader;
   }
 
+  /**
+   * Sets the listener that is called when a request has been added, so that {@link #tick} has work.
+   *
+   * @param listener the listener, called on the event loop
+   */
+  public void setWorkListener(Runnable listener) {
+    workListener = listener;
+  }
+
+  /**
+   * Returns whether {@link #tick} has work.
+   *
+   * @return whether requests are waiting
+   */
+  public boolean hasWork() {
+    return !queues.isEmpty();
+  }
+
   /**
    * Adds a request; it either proceeds, is rejected or is removed by {@link #remove}.
    *
@@ -81,6 +100,7 @@
     Queue q = queues.computeIfAbsent(key, k -> new Queue());
     q.requests.add(request);
     pendingCount++;
+    workListener.run();
     requestLoad(key, q);
     long readyMs = loader.readyInMs(request.service(), request.model(), request.adapter());
     long unmetMs = unmetMs(key);
