Peers: one encoded buffer for all receivers of a message

Each receiver got its own copy and a buffer for the length; the number of VMs that a digest names as heard was compared with a count over all peers each time.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
@@ -163,7 +163,7 @@
    * reachable peers are included, so that VMs do not keep telling each other of one that is gone.
    */
   Set<String> peersUnknownTo(NodeMessage.Digest digest) {
-    if (digest.heard() >= reachableCount()) {
+    if (digest.heard() >= vmCount() || digest.heard() >= reachableCount()) {
       return Set.of();
     }
     Set<String> reachable = new HashSet<>(byAddress.keySet());
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/TcpPeerTransport.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/TcpPeerTransport.java
@@ -16,7 +16,6 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.netty.handler.codec.LengthFieldPrepender;
 import java.io.IOException;
 import java.util.Collection;
 import java.util.HashMap;
@@ -84,16 +83,33 @@
     }
     byte[] encoded = encode(message);
     String kind = message.label();
+    // All receivers share one buffer; a heap buffer would be copied for each of them.
+    ByteBuf frame = frame(encoded);
+    int receivers = 0;
     for (String address : addresses) {
       Channel c = outgoing.get(address);
       if (c == null || !c.isActive()) {
         connect(address, kind, encoded);
       } else if (c.isWritable()) {
-        write(c, kind, encoded);
+        c.writeAndFlush(frame.retainedDuplicate());
+        receivers++;
       } else {
         reset(address);
       }
     }
+    frame.release();
+    count(kind, encoded.length, receivers);
+  }
+
+  private static ByteBuf frame(byte[] encoded) {
+    return Unpooled.directBuffer(LENGTH_FIELD_BYTES + encoded.length)
+        .writeInt(encoded.length)
+        .writeBytes(encoded);
+  }
+
+  private void count(String kind, int bytes, int receivers) {
+    node.metrics().counter(MetricsText.name("peer_sent_total", "kind", kind)).inc(receivers);
+    node.metrics().counter("peer_sent_bytes_total").inc((long) bytes * receivers);
   }
 
   private static byte[] encode(NodeMessage message) {
@@ -104,12 +120,6 @@
     }
   }
 
-  private void write(Channel c, String kind, byte[] encoded) {
-    node.metrics().counter(MetricsText.name("peer_sent_total", "kind", kind)).inc();
-    node.metrics().counter("peer_sent_bytes_total").inc(encoded.length);
-    c.writeAndFlush(Unpooled.wrappedBuffer(encoded));
-  }
-
   @Override
   public void reset(String address) {
     Channel c = outgoing.remove(address);
@@ -138,7 +148,8 @@
           connecting.remove(address);
           if (done.isSuccess()) {
             outgoing.put(address, future.channel());
-            write(future.channel(), kind, firstMessage);
+            future.channel().writeAndFlush(frame(firstMessage));
+            count(kind, firstMessage.length, 1);
           } else {
             nextConnectMs.put(address, node.now() + RECONNECT_DELAY_MS);
           }
@@ -153,7 +164,6 @@
             .addLast(
                 new LengthFieldBasedFrameDecoder(
                     MAX_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES))
-            .addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES))
             .addLast(new FrameHandler(inbound));
       }
     };
