Selection: an endpoint is as full as all VMs make it

A VM knew its own requests and the load in an endpoint's answers, which counts for 0.4 s. Of 95 VMs each sends to an endpoint every few seconds, so that each took a full endpoint for an idle one. The digests carry the requests of all VMs by endpoint already; the selection counts them now, with a random weight at each choice, since they are up to 1.2 s old and all VMs would choose alike.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/ActiveRequests.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/ActiveRequests.java
@@ -7,7 +7,8 @@
 
 /**
  * Requests in progress at each endpoint, by model and adapter, across all reachable VMs. Used to
- * avoid evictions that would wait for running requests while the endpoint accepts no other order.
+ * avoid evictions that would wait for running requests while the endpoint accepts no other order,
+ * and to see how full an endpoint is to which this VM itself sends only now and then.
  */
 public final class ActiveRequests {
   /** Placeholder for the adapter name that matches the model itself and any of its adapters. */
@@ -17,9 +18,13 @@
   private final Map<String, PeerCounts> peers = new HashMap<>();
 
   private final Map<String, Integer> peerCounts = new HashMap<>();
+
+  /** Number of requests of the peers, by endpoint. */
+  private final Map<String, Integer> peerRequests = new HashMap<>();
+
   private long lastExpiryMs;
 
-  private record PeerCounts(Set<String> keys, long untilMs) {}
+  private record PeerCounts(Set<String> keys, Map<String, Integer> requests, long untilMs) {}
 
   /**
    * Records that a request of this VM has started.
@@ -62,16 +67,41 @@
   public void updateFromPeer(String peer, Map<String, Integer> counts, long untilMs) {
     PeerCounts previous = peers.remove(peer);
     if (previous != null) {
-      previous.keys().forEach(this::decrement);
+      remove(previous);
     }
     if (!counts.isEmpty()) {
       Set<String> keys = new HashSet<>(counts.keySet());
       counts.keySet().forEach(k -> keys.add(k.substring(0, k.lastIndexOf('/') + 1) + ANY));
       keys.forEach(k -> peerCounts.merge(k, 1, Integer::sum));
-      peers.put(peer, new PeerCounts(keys, untilMs));
+      Map<String, Integer> requests = new HashMap<>();
+      counts.forEach(
+          (k, n) -> requests.merge(k.substring(0, Math.max(0, k.indexOf('|'))), n, Integer::sum));
+      requests.forEach((endpoint, n) -> peerRequests.merge(endpoint, n, Integer::sum));
+      peers.put(peer, new PeerCounts(keys, requests, untilMs));
     }
   }
 
+  private void remove(PeerCounts counts) {
+    counts.keys().forEach(this::decrement);
+    counts
+        .requests()
+        .forEach(
+            (endpoint, n) ->
+                peerRequests.computeIfPresent(endpoint, (e, sum) -> sum > n ? sum - n : null));
+  }
+
+  /**
+   * Returns the number of requests of the peers at an endpoint, as last reported.
+   *
+   * @param endpoint ID of the endpoint
+   * @param now current time, in ms
+   * @return number of requests, without those of this VM
+   */
+  public int peerRequests(String endpoint, long now) {
+    removeExpiredPeers(now);
+    return peerRequests.getOrDefault(endpoint, 0);
+  }
+
   private void decrement(String key) {
     peerCounts.computeIfPresent(key, (k, n) -> n > 1 ? n - 1 : null);
   }
@@ -87,7 +117,7 @@
             counts -> {
               boolean expired = now > counts.untilMs();
               if (expired) {
-                counts.keys().forEach(this::decrement);
+                remove(counts);
               }
               return expired;
             });
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointSelector.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointSelector.java
@@ -29,14 +29,17 @@
   private static final double LIMITED_COST = 2;
 
   private final String domain;
+  private final ActiveRequests activeRequests;
 
   /**
    * Creates a selector.
    *
    * @param domain failure domain of this VM
+   * @param activeRequests requests in progress at the endpoints
    */
-  public EndpointSelector(String domain) {
+  public EndpointSelector(String domain, ActiveRequests activeRequests) {
     this.domain = domain;
+    this.activeRequests = activeRequests;
   }
 
   /**
@@ -67,12 +70,25 @@
   }
 
   private double cost(Endpoint e, long now) {
-    double cost = e.utilization(now) + FAILURE_COST * e.failureRate(now);
+    double random = (Hashes.of(e.id() + now) & 0xff) / 255.0;
+    double cost = utilization(e, random, now) + FAILURE_COST * e.failureRate(now);
     cost += e.entry().domain().equals(domain) ? 0 : OTHER_DOMAIN_COST;
     cost += e.limited() ? LIMITED_COST : 0;
     cost += e.avoided(now) ? AVOIDED_COST : 0;
     // Breaks ties pseudo-randomly, by less than the cost of one slot of a large engine.
-    return cost + (Hashes.of(e.id() + now) & 0xff) * 1e-5;
+    return cost + random * 0.0025;
+  }
+
+  /**
+   * Returns the utilization of an endpoint by all VMs. An endpoint reports its load in responses
+   * only, which a VM of a large fleet gets too seldom. The requests of other VMs have a random
+   * weight: their reports are up to a cycle of digests old, and with the same weight at each VM all
+   * would choose the same endpoint until the next reports.
+   */
+  private double utilization(Endpoint e, double random, long now) {
+    double peerRequests = random * activeRequests.peerRequests(e.id(), now);
+    double counted = (e.inFlight() + peerRequests) / Math.max(1, e.entry().slots());
+    return Math.max(counted, e.utilization(now));
   }
 
   private static String affinityEndpointId(Collection<Endpoint> candidates, String session) {
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementChooserTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementChooserTests.java
@@ -141,7 +141,7 @@
   void loadsOfRemovedEndpoints() {
     loads.started("e1", "n", true, 6_000, 0);
     loads.started("gone", "m", true, 6_000, 0);
-    loads.retain(endpoints::contains);
+    loads.retain(endpoints::contains, 100);
 
     assertEquals(1, loads.storeLoadCount(100));
   }
@@ -149,7 +149,7 @@
   @Test
   @DisplayName("keeps a session at one endpoint until that is much busier than the others")
   void affinity() {
-    EndpointSelector selector = new EndpointSelector("west");
+    EndpointSelector selector = new EndpointSelector("west", running);
     Set<String> none = Set.of();
     Endpoint home = selector.choose(endpoints.all(), none, "session", 0).orElseThrow();
     for (int i = 0; i < 5; i++) {
@@ -165,7 +165,7 @@
   @Test
   @DisplayName("avoids an endpoint that fails requests, even if it is idle")
   void failing() {
-    EndpointSelector selector = new EndpointSelector("west");
+    EndpointSelector selector = new EndpointSelector("west", running);
     for (int i = 0; i < 5; i++) {
       endpoints.find("e1").orElseThrow().recordOutcome(true, 0);
     }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServerFactory.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/front/FrontServerFactory.java
@@ -43,7 +43,7 @@
         new FrontContext(
             node,
             headerCodec,
-            new EndpointSelector(node.settings().domain()),
+            new EndpointSelector(node.settings().domain(), node.activeRequests()),
             pendingRequests,
             quotas,
             permits,
