Timers: ticks at multiples of the wall clock, without the checks that start loads

The checks for prefetches and replicas get a delay of their own for each VM, so that not all holders decide in the same instant.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -32,6 +32,7 @@
 import java.security.SecureRandom;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
@@ -122,7 +123,9 @@
     // Runs as a separate task: a change caused by a request must not be handled before that request
     // has been added to the waiting ones.
     orders.setChangeListener(() -> node.loop().execute(pendingRequests::tick));
-    periodicTasks = new PeriodicTasks(node::schedule, clock::nowMs, WORK_INTERVAL_MS);
+    periodicTasks =
+        new PeriodicTasks(
+            node::schedule, clock::nowMs, System::currentTimeMillis, WORK_INTERVAL_MS);
     orders.setWorkListener(periodicTasks::wake);
     pendingRequests.setWorkListener(periodicTasks::wake);
     fleetState = new FleetStateUpdater(node, adapter.decoder(), quotas::onConfiguration);
@@ -182,8 +185,7 @@
         () ->
             quotas.sendDigests(
                 ownership.fencingNumber(), ownership.heldPartitions(), permits.heldLimits()));
-    every(DEMAND_CHECK_INTERVAL_MS, "spread", orders::scaleReplicas);
-    every(DEMAND_CHECK_INTERVAL_MS, "prefetch", orders::prefetch);
+    scheduleDemandChecks();
     ActivityLogger activity =
         new ActivityLogger(node.log(), node.metrics(), ProcessMetrics.times());
     every(
@@ -195,6 +197,22 @@
     periodicTasks.start();
   }
 
+  /**
+   * Schedules the checks that start loads without a request. Each VM has its own delay after the
+   * common tick, so that the VMs learn of each other's loads before they decide.
+   */
+  private void scheduleDemandChecks() {
+    long delayMs = ThreadLocalRandom.current().nextLong(PeriodicTasks.TICK_MS);
+    Runnable spread = timed("spread", orders::scaleReplicas);
+    Runnable prefetch = timed("prefetch", orders::prefetch);
+    Runnable checks =
+        () -> {
+          spread.run();
+          prefetch.run();
+        };
+    periodicTasks.every(DEMAND_CHECK_INTERVAL_MS, () -> node.schedule(delayMs, checks));
+  }
+
   private void every(long intervalMs, String taskName, Runnable task) {
     periodicTasks.every(intervalMs, timed(taskName, task));
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/time/PeriodicTasks.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/time/PeriodicTasks.java
@@ -7,8 +7,9 @@
 
 /**
  * Runs the periodic tasks of a VM on its event loop. Needed for fleets of mostly idle VMs, on which
- * the wake-ups of the event loop cost more than the work: all tasks share one timer, and a task
- * that depends on work runs rarely while there is none.
+ * the wake-ups of the event loop cost more than the work: all tasks share one timer, a task that
+ * depends on work runs rarely while there is none, and the timer ticks at multiples of {@link
+ * #TICK_MS} of the wall clock, so that the messages of VMs with similar clocks arrive together.
  */
 public final class PeriodicTasks {
   /** Interval of the timer, in ms; all intervals of tasks are multiples of it. */
@@ -16,6 +17,7 @@
 
   private final Scheduler scheduler;
   private final LongSupplier clock;
+  private final LongSupplier wallClock;
   private final long workIntervalMs;
   private final List<Task> tasks = new ArrayList<>();
   private final List<WorkTask> workTasks = new ArrayList<>();
@@ -51,12 +53,15 @@
    *
    * @param scheduler schedules on the event loop
    * @param clock monotonic clock, in ms
+   * @param wallClock wall clock, in ms
    * @param workIntervalMs interval of the tasks that have work, in ms; shorter than {@link
    *     #TICK_MS}
    */
-  public PeriodicTasks(Scheduler scheduler, LongSupplier clock, long workIntervalMs) {
+  public PeriodicTasks(
+      Scheduler scheduler, LongSupplier clock, LongSupplier wallClock, long workIntervalMs) {
     this.scheduler = scheduler;
     this.clock = clock;
+    this.wallClock = wallClock;
     this.workIntervalMs = workIntervalMs;
   }
 
@@ -99,7 +104,10 @@
   }
 
   private void scheduleTick() {
-    scheduler.schedule(TICK_MS, this::tick);
+    long untilNextMs = TICK_MS - Math.floorMod(wallClock.getAsLong(), TICK_MS);
+    // A wall clock that stands still must not shorten the interval each time.
+    long delayMs = untilNextMs < TICK_MS / 2 ? untilNextMs + TICK_MS : untilNextMs;
+    scheduler.schedule(delayMs, this::tick);
   }
 
   private void tick() {
@@ -107,7 +115,7 @@
     scheduleTick();
     long now = clock.getAsLong();
     for (Task t : tasks) {
-      // Half a tick early, so that late ticks do not stretch the interval.
+      // Half a tick early, so that late ticks and adjusted clocks do not stretch the interval.
       if (now >= t.dueMs - TICK_MS / 2) {
         t.dueMs = now + t.intervalMs;
         t.runnable.run();
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/time/PeriodicTasksTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/time/PeriodicTasksTests.java
@@ -10,6 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongUnaryOperator;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 
@@ -22,7 +23,9 @@
       new PeriodicTasks(
           (delayMs, task) -> timers.add(new Timer(this.now + delayMs, task)),
           () -> this.now,
+          () -> this.wallClockMs.applyAsLong(this.now),
           WORK_INTERVAL_MS);
+  private LongUnaryOperator wallClockMs = ms -> ms + 1_787_817_098_033L;
   private long now;
   private int wakeUps;
 
@@ -66,6 +69,29 @@
     assertTrue(wakeUps <= 101, wakeUps + " wake-ups in 10 s");
   }
 
+  @Test
+  @DisplayName("run at multiples of the interval of the wall clock, together with other VMs")
+  void alignedToWallClock() {
+    List<Long> times = new ArrayList<>();
+    tasks.every(200, () -> times.add(wallClockMs.applyAsLong(now)));
+    tasks.start();
+    runUntil(5_000);
+
+    assertEquals(25, times.size(), 1);
+    times.forEach(t -> assertEquals(0, t % PeriodicTasks.TICK_MS));
+  }
+
+  @Test
+  @DisplayName("keep their interval if the wall clock stands still")
+  void stoppedWallClock() {
+    wallClockMs = ms -> 99;
+    tasks.every(100, () -> {});
+    tasks.start();
+    runUntil(10_000);
+
+    assertTrue(wakeUps <= 101, wakeUps + " wake-ups in 10 s");
+  }
+
   @Test
   @DisplayName("go on after an error of one of them")
   void errorOfTask() {
