Loads: durations of copies say nothing about the weight store

The lines load_ended show the cause: loads of copies that are 0.1 s late are announced as loads from the store, end after 0.7 to 1.2 s, and counted as loads at full speed beside all others. A load that takes less than 0.8 of the expected time is no evidence now (ActiveLoadsTests.copiesTakenForStoreLoads).

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/StoreLoadLimit.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/StoreLoadLimit.java
@@ -16,6 +16,12 @@
    */
   private static final double SLOW = 1.25;
 
+  /**
+   * Ratio of the actual to the expected duration below which a load did not come from the weight
+   * store: a load of a copy that is a little late is taken for one from the store.
+   */
+  private static final double COPY = 0.8;
+
   /**
    * Mean number of concurrent loads below which a slow load says nothing about the store: the
    * endpoint may have started it late.
@@ -110,9 +116,12 @@
   }
 
   private void add(Observation load, long expectedMs, long now) {
+    double ratio = (double) (now - load.startMs) / Math.max(1, expectedMs);
+    if (ratio < COPY) {
+      return;
+    }
     samples.values().removeIf(s -> now - s.atMs() > SAMPLE_TTL_MS);
     double mean = meanConcurrency(load, now);
-    double ratio = (double) (now - load.startMs) / Math.max(1, expectedMs);
     boolean slow = ratio > SLOW;
     boolean slowedByOthers = slow && mean >= MIN_CONCURRENCY;
     if (slowedByOthers || !slow) {
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/ActiveLoadsTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/ActiveLoadsTests.java
@@ -79,6 +79,24 @@
     assertEquals(1, limit);
   }
 
+  @Test
+  @DisplayName("of copies that were taken for loads from the store say nothing about the store")
+  void copiesTakenForStoreLoads() {
+    for (String e : List.of("a", "b", "c", "d")) {
+      loads.started(e, "m", true, LOAD_MS, 0);
+    }
+    for (long now = 0; now <= 4 * LOAD_MS; now += 1_000) {
+      for (String e : List.of("a", "b", "c", "d")) {
+        loads.confirmed(report(e, now), VALID_MS, now);
+      }
+      loads.started("copy", "n", false, 540, now);
+      loads.started("copy", "n", true, LOAD_MS, now + 700);
+      loads.ended("copy", now + 750);
+    }
+
+    assertTrue(loads.storeLoadLimit() <= 2, "limit " + loads.storeLoadLimit());
+  }
+
   @Test
   @DisplayName("that run at full speed raise the number that may start, up to the setting")
   void limitRises() {
