Loads: a load that others slow down still counts as the one that is needed

A model in demand is loaded at another endpoint if a load in progress ends later than that endpoint's own would. The end of a load in progress allows for the others since, the own one did not, so that each slow load called for the next: three endpoints loaded zifi137810 at once for 24 to 36 s. Both are compared as they are expected without others now (ReplicaPolicyTests.loadSlowedDown).

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/ActiveLoads.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/ActiveLoads.java
@@ -228,14 +228,15 @@
    * Returns the endpoints that are loading a model.
    *
    * @param model name of the model
-   * @param deadlineMs latest expected end time of the loads to include, in ms
+   * @param deadlineMs latest end time of the loads to include, in ms, as expected without other
+   *     loads: those would slow down a load that starts now as well
    * @param now current time, in ms
    * @return their IDs
    */
   public List<String> endpointsLoading(String model, long deadlineMs, long now) {
     return byEndpoint.entrySet().stream()
         .filter(e -> e.getValue().model.equals(model) && now < e.getValue().knownUntilMs)
-        .filter(e -> untilMs(e.getValue(), now) <= deadlineMs)
+        .filter(e -> e.getValue().expectedEndMs() <= deadlineMs)
         .map(Map.Entry::getKey)
         .toList();
   }
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/ReplicaPolicyTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/ReplicaPolicyTests.java
@@ -46,6 +46,18 @@
             < replicas.loadValue(TestEndpoints.SERVICE, "x", NOW));
   }
 
+  @Test
+  @DisplayName("are not loaded again from the weight store while a load is slowed down by others")
+  void loadSlowedDown() {
+    addDemand("x", 5);
+    loads.started("e2", "x", true, 6_000, NOW);
+    for (int i = 0; i < 8; i++) {
+      loads.started("other" + i, "y", true, 6_000, NOW);
+    }
+
+    assertFalse(replicas.replicaNeeded(endpoint("e1"), "x", 6_000, NOW + 1_000));
+  }
+
   @Test
   @DisplayName("are not surplus when the others cannot serve the demand after the loss of one")
   void demandNeedsAll() {
