--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/DrainingModel.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/DrainingModel.java
@@ -9,8 +9,8 @@
  */
 final class DrainingModel {
   /**
-   * Maximum duration of draining, in ms. Shorter than {@link Endpoint#EVICTION_VALID_MS}, the time
-   * for which other VMs regard the model as evicted.
+   * Maximum duration of draining, in ms. Shorter than {@link HoldingUpdates#EVICTION_VALID_MS}, the
+   * time for which other VMs regard the model as evicted.
    */
   private static final long MAX_DURATION_MS = 2_000;
 
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Endpoint.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/Endpoint.java
@@ -3,9 +3,7 @@
 import io.kumquatspindle.api.fleet.EndpointEntry;
 import io.kumquatspindle.api.fleet.LoadedModel;
 import io.kumquatspindle.api.fleet.ResponseHead;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
@@ -23,24 +21,6 @@
    */
   static final long LOAD_VALID_MS = 400;
 
-  /**
-   * Time for which an update about an eviction takes precedence over the entry, which may lag by a
-   * heartbeat.
-   */
-  static final long EVICTION_VALID_MS = 3_000;
-
-  /**
-   * Time for which an update about a load takes precedence over the entry, unless a later entry is
-   * read: three heartbeats at least.
-   */
-  static final long LOAD_UPDATE_VALID_MS = 6_000;
-
-  /**
-   * Age of an update from which an entry that is read is known to be later, in ms: the heartbeat
-   * interval of 1.2 s and the longest delay of a read, {@code NodeSettings.endpointsReadDelayMs}.
-   */
-  static final long ENTRY_LAG_MS = 3_000;
-
   /** Weight of the latest outcome in the moving average of the failure rate. */
   private static final double FAILURE_WEIGHT = 0.2;
 
@@ -56,7 +36,7 @@
    */
   private static final int MAX_BACKOFF_DOUBLINGS = 3;
 
-  private final Map<String, HoldingUpdate> recentUpdates = new HashMap<>();
+  private final HoldingUpdates recentUpdates = new HoldingUpdates();
   private final Consumer<String> onHoldingChanged;
   private final long hash;
   private EndpointEntry entry;
@@ -96,7 +76,7 @@
 
   void updateEntry(EndpointEntry newer, long now) {
     entry = newer;
-    recentUpdates.values().removeIf(u -> now - u.atMs() >= ENTRY_LAG_MS);
+    recentUpdates.removeKnownToEntry(now).forEach(onHoldingChanged);
   }
 
   public String id() {
@@ -307,34 +287,16 @@
    * @param now current time, in ms
    */
   public void updateHolding(String model, String adapter, boolean held, long now) {
-    if (!held && adapter.isEmpty()) {
-      recentUpdates.keySet().removeIf(k -> k.startsWith(model + "/"));
-    }
-    recentUpdates.values().removeIf(n -> now >= n.untilMs());
-    long validMs = held ? LOAD_UPDATE_VALID_MS : EVICTION_VALID_MS;
-    recentUpdates.put(key(model, adapter), new HoldingUpdate(held, now, now + validMs));
+    recentUpdates.add(model, adapter, held, now);
     onHoldingChanged.accept(model);
   }
 
-  /** Returns the models about which an entry that is read now is later than the last update. */
-  Set<String> updatedModels(long now) {
-    Set<String> names = new HashSet<>();
-    recentUpdates.forEach(
-        (key, update) -> {
-          if (now - update.atMs() >= ENTRY_LAG_MS) {
-            names.add(key.substring(0, key.indexOf('/')));
-          }
-        });
-    return names;
-  }
-
   /**
    * Returns when the update about a model expires, in ms, or {@link Long#MAX_VALUE} if there is
    * none.
    */
   long updateValidUntilMs(String model, long now) {
-    HoldingUpdate update = recentUpdates.isEmpty() ? null : recentUpdates.get(key(model, ""));
-    return update == null || now >= update.untilMs() ? Long.MAX_VALUE : update.untilMs();
+    return recentUpdates.validUntilMs(model, now);
   }
 
   /**
@@ -361,11 +323,7 @@
   public Set<String> models(long now) {
     Set<String> names = new HashSet<>();
     entry.models().forEach(m -> names.add(m.name()));
-    for (String k : recentUpdates.keySet()) {
-      if (k.endsWith("/")) {
-        names.add(k.substring(0, k.length() - 1));
-      }
-    }
+    names.addAll(recentUpdates.models());
     names.removeIf(m -> !heldNow(m, "", now));
     return names;
   }
@@ -387,9 +345,9 @@
   }
 
   private boolean heldNow(String model, String adapter, long now) {
-    HoldingUpdate update = recentUpdates.isEmpty() ? null : recentUpdates.get(key(model, adapter));
-    if (update != null && now < update.untilMs()) {
-      return update.held();
+    Optional<Boolean> update = recentUpdates.held(model, adapter, now);
+    if (update.isPresent()) {
+      return update.get();
     }
     for (LoadedModel m : entry.models()) {
       if (m.name().equals(model)) {
@@ -398,10 +356,4 @@
     }
     return false;
   }
-
-  private static String key(String model, String adapter) {
-    return model + "/" + adapter;
-  }
-
-  private record HoldingUpdate(boolean held, long atMs, long untilMs) {}
 }
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
@@ -44,7 +44,6 @@
       byId.put(entry.id(), returnedOrNew(entry));
       holders.clear();
     } else {
-      known.updatedModels(now).forEach(holders::invalidate);
       invalidateHolders(known.entry(), entry);
       known.updateEntry(entry, now);
     }
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/EndpointTableTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/EndpointTableTests.java
@@ -86,7 +86,7 @@
     table.put(TestEndpoints.endpoint("e1", "west", "a"), 0);
 
     assertFalse(e.holds("a", "", 100));
-    assertTrue(e.holds("a", "", Endpoint.EVICTION_VALID_MS));
+    assertTrue(e.holds("a", "", HoldingUpdates.EVICTION_VALID_MS));
   }
 
   @Test
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/LoadSimulation.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/LoadSimulation.java
@@ -53,46 +53,15 @@
   private final ReplicaPolicy replicas = new ReplicaPolicy(endpoints, demand, loads);
   private final PlacementChooser chooser =
       new PlacementChooser(endpoints, replicas, loads, queues, running);
-  private final Map<String, Engine> engines = new LinkedHashMap<>();
+  private final Map<String, SimulatedEngine> engines = new LinkedHashMap<>();
   private final EngineInfo engineInfo;
-  private final List<Request> waiting = new ArrayList<>();
-  private final List<Request> served = new ArrayList<>();
+  private final List<SimulatedRequest> waiting = new ArrayList<>();
+  private final List<SimulatedRequest> served = new ArrayList<>();
   private final Map<String, Integer> storeLoads = new HashMap<>();
   private final List<Long> storeLoadDurations = new ArrayList<>();
   private int maxConcurrentStoreLoads;
   private long now;
 
-  /** A request that is waiting for a model or has been served. */
-  static final class Request {
-    final String model;
-    final long atMs;
-    final long goalMs;
-    long servedMs = Long.MAX_VALUE;
-    private long lastPlacementMs = Long.MIN_VALUE / 2;
-
-    private Request(String model, long atMs, long goalMs) {
-      this.model = model;
-      this.atMs = atMs;
-      this.goalMs = goalMs;
-    }
-
-    boolean goalMet() {
-      return servedMs <= goalMs;
-    }
-  }
-
-  private static final class Engine {
-    private final OrderScheduler scheduler = new OrderScheduler();
-    private final Set<String> held = new HashSet<>();
-    private final Map<String, Long> busyUntilMs = new HashMap<>();
-    private String loading = "";
-    private boolean loadingFromStore;
-    private long loadStartMs;
-    private double remainingMs;
-    private long evictedMs;
-    private long orders;
-  }
-
   /**
    * Creates a simulation.
    *
@@ -133,7 +102,7 @@
       if (copies && e == 0) {
         disk.add("next");
       }
-      Engine engine = new Engine();
+      SimulatedEngine engine = new SimulatedEngine();
       engine.held.addAll(Set.of("hot", "warm"));
       engines.put("e" + e, engine);
       endpoints.put(entry("e" + e, engine.held, disk), now);
@@ -189,7 +158,7 @@
 
   private void addRequest(String model, long goalMs) {
     demand.addRequests(model, 1, now);
-    waiting.add(new Request(model, now, now + goalMs));
+    waiting.add(new SimulatedRequest(model, now, now + goalMs));
   }
 
   private void step() {
@@ -203,7 +172,7 @@
     now += STEP_MS;
   }
 
-  private boolean serve(Request r) {
+  private boolean serve(SimulatedRequest r) {
     List<Endpoint> holders =
         endpoints.available(SERVICE).stream().filter(e -> e.holds(r.model, "", now)).toList();
     if (holders.isEmpty()) {
@@ -217,7 +186,7 @@
     return true;
   }
 
-  private void requestPlacement(Request r) {
+  private void requestPlacement(SimulatedRequest r) {
     if (now - r.lastPlacementMs < PLACEMENT_RETRY_MS) {
       return;
     }
@@ -228,7 +197,7 @@
         .ifPresent(e -> engines.get(e.id()).scheduler.requestLoad(r.model, "", goal, now));
   }
 
-  private void runScheduler(String id, Engine engine) {
+  private void runScheduler(String id, SimulatedEngine engine) {
     Endpoint e = endpoints.find(id).orElseThrow();
     OrderContext context = new Context(e, engine);
     engine.scheduler.expireRequests(now - 3_000);
@@ -272,7 +241,7 @@
     }
   }
 
-  private OrderResponse execute(Endpoint e, Engine engine, ModelOrder order) {
+  private OrderResponse execute(Endpoint e, SimulatedEngine engine, ModelOrder order) {
     if (engine.held.contains(order.model()) == order.load()) {
       return OrderResponse.HOLDS;
     }
@@ -300,7 +269,7 @@
     return OrderResponse.ACCEPTED;
   }
 
-  private void advanceEngine(String id, Engine engine, double storeSpeed) {
+  private void advanceEngine(String id, SimulatedEngine engine, double storeSpeed) {
     engine.busyUntilMs.values().removeIf(until -> now >= until);
     engine.remainingMs -= STEP_MS * (engine.loadingFromStore ? storeSpeed : 1);
     if (!engine.loading.isEmpty() && engine.remainingMs <= 0) {
@@ -322,8 +291,8 @@
 
   /** Returns the share of requests for rarely used models that were served within their goal. */
   double rareGoalShare() {
-    List<Request> rare = all().stream().filter(r -> r.model.startsWith("m")).toList();
-    return (double) rare.stream().filter(Request::goalMet).count() / rare.size();
+    List<SimulatedRequest> rare = all().stream().filter(r -> r.model.startsWith("m")).toList();
+    return (double) rare.stream().filter(SimulatedRequest::goalMet).count() / rare.size();
   }
 
   /** Returns how long the first request for the model to which the demand shifts waited, in ms. */
@@ -348,17 +317,17 @@
     return List.copyOf(storeLoadDurations);
   }
 
-  private List<Request> all() {
-    List<Request> all = new ArrayList<>(served);
+  private List<SimulatedRequest> all() {
+    List<SimulatedRequest> all = new ArrayList<>(served);
     all.addAll(waiting);
     return all;
   }
 
   private final class Context implements OrderContext {
     private final Endpoint endpoint;
-    private final Engine engine;
+    private final SimulatedEngine engine;
 
-    private Context(Endpoint endpoint, Engine engine) {
+    private Context(Endpoint endpoint, SimulatedEngine engine) {
       this.endpoint = endpoint;
       this.engine = engine;
     }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -273,7 +273,7 @@
             d.configuration(), d.address(), configurationReader.pendingReadMs());
         configurationReader.readImmediately();
       }
-      orders.onPeerLoads(d.loads());
+      orders.loads().onPeerReports(d.loads());
     } else if (message instanceof NodeMessage.Known k) {
       peers.onKnown(k);
     } else if (message instanceof NodeMessage.Want w) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -18,7 +18,6 @@
 import io.kumquatspindle.node.peer.Peers;
 import io.kumquatspindle.node.port.EngineClient;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -29,12 +28,6 @@
   /** Age after which a load request expires unless it is repeated, in ms. */
   private static final long LOAD_REQUEST_TTL_MS = 3_000;
 
-  /**
-   * Time for which a load at an endpoint that this VM holds counts after its last confirmation, in
-   * ms; longer than the interval of the confirmations.
-   */
-  private static final long OWN_LOAD_VALID_MS = 1_000;
-
   /** Interval for dropping endpoints gone or held elsewhere, in ms; as the group tick's. */
   private static final long CLEANUP_INTERVAL_MS = 100;
 
@@ -43,16 +36,14 @@
   private final Peers peers;
   private final PeerTransport transport;
   private final EngineClient engines;
-  private final ActiveLoads loads;
+  private final LoadTracker loads;
   private final ReplicaPolicy replicaPolicy;
   private final PlacementChooser chooser;
   private final PrefetchPlanner prefetch;
   private final ReplicaScaler scaler;
-  private final Set<String> fetched = new HashSet<>();
   private final Map<String, OrderScheduler> ordersByEndpoint = new HashMap<>();
   private final Map<String, Long> startTimes = new HashMap<>();
   private final Counter ordersSent;
-  private Runnable changeListener = () -> {};
   private Runnable workListener = () -> {};
   private long lastCleanupMs;
 
@@ -76,12 +67,13 @@
     this.peers = peers;
     this.transport = transport;
     this.engines = engines;
-    this.loads = node.activeLoads();
-    this.replicaPolicy = new ReplicaPolicy(node.endpoints(), node.demand(), loads);
+    ActiveLoads active = node.activeLoads();
+    this.loads = new LoadTracker(node, peers);
+    this.replicaPolicy = new ReplicaPolicy(node.endpoints(), node.demand(), active);
     this.chooser =
         new PlacementChooser(
-            node.endpoints(), replicaPolicy, loads, node.loadQueues(), node.activeRequests());
-    this.prefetch = new PrefetchPlanner(node.endpoints(), node.demand(), loads);
+            node.endpoints(), replicaPolicy, active, node.loadQueues(), node.activeRequests());
+    this.prefetch = new PrefetchPlanner(node.endpoints(), node.demand(), active);
     this.scaler = new ReplicaScaler(node, ownership, replicaPolicy, chooser, this::requestLoadAt);
     this.ordersSent = node.metrics().counter("orders_total");
   }
@@ -92,7 +84,16 @@
    * @param listener the listener, called on the event loop
    */
   public void setChangeListener(Runnable listener) {
-    changeListener = listener;
+    loads.setLoadedListener(listener);
+  }
+
+  /**
+   * Returns the loads in progress, which peers report in their digests.
+   *
+   * @return the tracker of this VM
+   */
+  public LoadTracker loads() {
+    return loads;
   }
 
   /**
@@ -168,16 +169,7 @@
 
   @Override
   public boolean isLoading(String service, String model) {
-    long now = node.now();
-    return loads.endpointsLoading(model, Long.MAX_VALUE, now).stream()
-        .anyMatch(id -> acceptsRequests(id, service));
-  }
-
-  private boolean acceptsRequests(String endpoint, String service) {
-    return node.endpoints()
-        .find(endpoint)
-        .filter(e -> e.entry().service().equals(service) && !e.leaving())
-        .isPresent();
+    return loads.isLoading(service, model);
   }
 
   /**
@@ -219,10 +211,7 @@
    * @param c the change
    */
   public void onPeerChange(NodeMessage.Changed c) {
-    long now = node.now();
-    node.endpoints()
-        .find(c.endpoint())
-        .ifPresent(e -> apply(e, c.model(), c.adapter(), c.kind(), c.fromStore(), c.forMs(), now));
+    node.endpoints().find(c.endpoint()).ifPresent(e -> loads.apply(e, c));
   }
 
   @Override
@@ -240,9 +229,7 @@
       lastCleanupMs = now;
       ordersByEndpoint.keySet().removeIf(id -> noLongerOwned(id));
       startTimes.keySet().removeIf(id -> !node.endpoints().contains(id));
-      loads.retain(node.endpoints()::contains, now);
-      confirmLoads(now);
-      loads.expire(now).forEach(l -> logLoad("load_unconfirmed", l));
+      loads.confirm(ordersByEndpoint);
     }
     for (Map.Entry<String, OrderScheduler> entry : List.copyOf(ordersByEndpoint.entrySet())) {
       if (!entry.getValue().idle()) {
@@ -253,12 +240,6 @@
     publishQueuedLoads();
   }
 
-  private void confirmLoads(long now) {
-    ordersByEndpoint.forEach(
-        (id, orders) ->
-            orders.loading().ifPresent(m -> loads.confirmedByOwner(id, OWN_LOAD_VALID_MS, now)));
-  }
-
   private void publishQueuedLoads() {
     node.loadQueues().retain(ordersByEndpoint::containsKey);
     for (Map.Entry<String, OrderScheduler> entry : ordersByEndpoint.entrySet()) {
@@ -303,14 +284,14 @@
         continue;
       }
       // A load blocks all other orders of its endpoint for seconds, so demand lowers the limit.
-      int maxLoads = node.demand().hasDemand() ? 1 : loads.storeLoadLimit();
-      if (loads.storeLoadCount(now) >= maxLoads) {
+      int maxLoads = node.demand().hasDemand() ? 1 : node.activeLoads().storeLoadLimit();
+      if (node.activeLoads().storeLoadCount(now) >= maxLoads) {
         return;
       }
       OrderScheduler orders = ordersOf(e);
       if (orders.requestedLoadCount() == 0) {
         prefetch
-            .nextModel(e, engine.get(), fetched, now)
+            .nextModel(e, engine.get(), loads.fetchedModels(), now)
             .ifPresent(
                 m -> {
                   node.log().line("prefetch").field("endpoint", e.id()).field("model", m).write();
@@ -399,60 +380,10 @@
     Optional<ModelInfo> model =
         engine(e.entry().service()).flatMap(x -> Optional.ofNullable(x.models().get(c.model())));
     NodeMessage.Changed m = ChangeMessages.of(e, c, model, ordersOf(e).heldBefore(c.model()));
-    apply(e, m.model(), m.adapter(), m.kind(), m.fromStore(), m.forMs(), node.now());
+    loads.apply(e, m);
     peers.broadcast(m);
   }
 
-  private void apply(
-      Endpoint e,
-      String model,
-      String adapter,
-      NodeMessage.Changed.Kind kind,
-      boolean fromStore,
-      long forMs,
-      long now) {
-    switch (kind) {
-      case LOADING -> {
-        fetched.add(model);
-        loads.started(e.id(), model, fromStore, forMs, now);
-      }
-      case LOADED -> {
-        if (adapter.isEmpty()) {
-          loads.ended(e.id(), now).ifPresent(l -> logLoad("load_ended", l));
-        }
-        e.updateHolding(model, adapter, true, now);
-        changeListener.run();
-      }
-      case EVICTED -> e.updateHolding(model, adapter, false, now);
-      default -> throw new IllegalStateException("unknown kind of change: " + kind);
-    }
-  }
-
-  /**
-   * Handles that a peer reports the loads in progress at the endpoints that it holds.
-   *
-   * @param reports the loads
-   */
-  public void onPeerLoads(List<ActiveLoads.Report> reports) {
-    long now = node.now();
-    reports.stream()
-        .filter(r -> node.endpoints().contains(r.endpoint()))
-        .forEach(r -> loads.confirmed(r, peers.peerTimeoutMs(), now));
-  }
-
-  private void logLoad(String event, ActiveLoads.Report load) {
-    node.log()
-        .line(event)
-        .field("endpoint", load.endpoint())
-        .field("model", load.model())
-        .field("from_store", String.valueOf(load.fromStore()))
-        .field("took_ms", load.elapsedMs())
-        .field("expected_ms", load.expectedMs())
-        .field("store_loads", loads.storeLoadCount(node.now()))
-        .field("store_limit", loads.storeLoadLimit())
-        .write();
-  }
-
   private Optional<EngineInfo> engine(String service) {
     return node.configuration().flatMap(c -> c.service(service)).flatMap(s -> s.engine());
   }
