Loads: a load in progress bounds the store's capacity, only an ended one shows it

A load that has just become late was taken for one that ends now, which shows a high capacity, and the highest of eight loads counts: with eight at once there always was such a load. Loads in progress are kept apart from ended ones now and only lower the estimate (ActiveLoadsTests.laterLoadsStillRunning fails on the code before).

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/StoreLoadLimit.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/StoreLoadLimit.java
@@ -1,6 +1,8 @@
 package io.kumquatspindle.engine.fleet;
 
-import java.util.LinkedHashMap;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
 import java.util.Map;
 
 /**
@@ -31,7 +33,7 @@
   /** Number of slow loads from which the limit is lowered; one may be due to its endpoint. */
   private static final int MIN_SLOW_SAMPLES = 2;
 
-  /** Maximum number of loads on which the estimate is based. */
+  /** Maximum number of ended loads on which the estimate is based. */
   private static final int MAX_SAMPLES = 8;
 
   /** Age after which the duration of a load is discarded, in ms; a few times that of a load. */
@@ -44,7 +46,11 @@
   private static final int INITIAL_LIMIT = 2;
 
   private final int maximum;
-  private final Map<Observation, Sample> samples = new LinkedHashMap<>();
+  private final Deque<Sample> endedLoads = new ArrayDeque<>();
+
+  /** Loads in progress that are late, as they were last seen. */
+  private final Map<Observation, Sample> lateLoads = new HashMap<>();
+
   private int limit;
   private int concurrency;
   private long lastChangeMs;
@@ -71,7 +77,7 @@
    * The speed of one load.
    *
    * @param capacity number of loads at full speed that all loads together amounted to meanwhile; a
-   *     lower bound if the load was not slow
+   *     lower bound if the load was not slow, an upper bound if it has not ended
    * @param slow whether the load was slowed down by others
    * @param atMs when the load ended or was last seen, in ms
    */
@@ -106,39 +112,64 @@
   /** Handles that a load is still in progress; it counts once it is slow. */
   void inProgress(Observation load, long expectedMs, long now) {
     if (now - load.startMs > SLOW * expectedMs) {
-      add(load, expectedMs, now);
+      add(load, expectedMs, false, now);
     }
   }
 
   /** Handles the end of a load. */
   void ended(Observation load, long expectedMs, long now) {
-    add(load, expectedMs, now);
+    add(load, expectedMs, true, now);
   }
 
-  private void add(Observation load, long expectedMs, long now) {
+  private void add(Observation load, long expectedMs, boolean ended, long now) {
+    lateLoads.remove(load);
     double ratio = (double) (now - load.startMs) / Math.max(1, expectedMs);
     if (ratio < COPY) {
       return;
     }
-    samples.values().removeIf(s -> now - s.atMs() > SAMPLE_TTL_MS);
     double mean = meanConcurrency(load, now);
     boolean slow = ratio > SLOW;
     boolean slowedByOthers = slow && mean >= MIN_CONCURRENCY;
-    if (slowedByOthers || !slow) {
-      samples.put(load, new Sample(slow ? mean / ratio : mean, slow, now));
-    }
-    if (samples.size() > MAX_SAMPLES) {
-      samples.remove(samples.keySet().iterator().next());
+    Sample sample = new Sample(slow ? mean / ratio : mean, slow, now);
+    if (!ended && slowedByOthers) {
+      lateLoads.put(load, sample);
+    } else if (ended && (slowedByOthers || !slow)) {
+      endedLoads.addLast(sample);
     }
-    if (samples.values().stream().filter(Sample::slow).count() >= MIN_SLOW_SAMPLES) {
-      double best = samples.values().stream().mapToDouble(Sample::capacity).max().orElse(1);
-      limit = (int) Math.max(1, Math.min(maximum, Math.round(best)));
+    removeOldSamples(now);
+    long slowLoads = lateLoads.size() + endedLoads.stream().filter(Sample::slow).count();
+    if (slowLoads >= MIN_SLOW_SAMPLES) {
+      limit = (int) Math.max(1, Math.min(maximum, Math.round(capacity())));
       lastSlowMs = slowedByOthers ? now : lastSlowMs;
     } else if (mean > limit - 0.5 && now - lastSlowMs >= PROBE_INTERVAL_MS) {
       limit = Math.min(maximum, limit + 1);
     }
   }
 
+  private void removeOldSamples(long now) {
+    lateLoads.values().removeIf(s -> now - s.atMs() > SAMPLE_TTL_MS);
+    endedLoads.removeIf(s -> now - s.atMs() > SAMPLE_TTL_MS);
+    if (endedLoads.size() > MAX_SAMPLES) {
+      endedLoads.removeFirst();
+    }
+  }
+
+  /**
+   * Returns the capacity that the loads show: the highest of those that have ended, as single ones
+   * may be slow for another reason, and no more than two loads that are still late allow.
+   */
+  private double capacity() {
+    double shown = endedLoads.stream().mapToDouble(Sample::capacity).max().orElse(maximum);
+    double allowed =
+        lateLoads.values().stream()
+            .mapToDouble(Sample::capacity)
+            .sorted()
+            .skip(MIN_SLOW_SAMPLES - 1)
+            .findFirst()
+            .orElse(maximum);
+    return Math.min(shown, allowed);
+  }
+
   private double meanConcurrency(Observation load, long now) {
     return now > load.seenMs
         ? (loadMillisAt(now) - load.loadMillisBefore) / (now - load.seenMs)
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/ActiveLoadsTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/ActiveLoadsTests.java
@@ -79,6 +79,31 @@
     assertEquals(1, limit);
   }
 
+  @Test
+  @DisplayName("that have just become late do not hide how slow the ended ones were")
+  void laterLoadsStillRunning() {
+    // Eight at once at a store that serves two; the next eight start before the first have ended.
+    for (int i = 0; i < 8; i++) {
+      loads.started("a" + i, "m", true, LOAD_MS, 0);
+    }
+    for (long now = 0; now <= 4 * LOAD_MS; now += 1_000) {
+      for (int i = 0; i < 8; i++) {
+        loads.confirmed(report("a" + i, now), VALID_MS, now);
+      }
+    }
+    for (int i = 0; i < 8; i++) {
+      loads.started("b" + i, "m", true, LOAD_MS, 2 * LOAD_MS + 6_000);
+    }
+    for (int i = 0; i < 4; i++) {
+      loads.ended("a" + i, 4 * LOAD_MS);
+    }
+    for (int i = 0; i < 8; i++) {
+      loads.confirmed(report("b" + i, 12_000), VALID_MS, 4 * LOAD_MS + 2_000);
+    }
+
+    assertTrue(loads.storeLoadLimit() <= 3, "limit " + loads.storeLoadLimit());
+  }
+
   @Test
   @DisplayName("of copies that were taken for loads from the store say nothing about the store")
   void copiesTakenForStoreLoads() {
