Tests: the random changes of holders put entries at the current time

The time was 0 since, so that HolderIndexTests never let an entry end an update about a load, which must also end what the index holds. It passes with the current time, too.

--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/HolderIndexTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/HolderIndexTests.java
@@ -60,11 +60,11 @@
     String model = MODELS.get(c.model());
     Consumer<Endpoint> update = e -> e.updateHolding(model, "", c.kind() == 2, now);
     switch (c.kind()) {
-      case 0 -> table.put(TestEndpoints.endpoint(id, "west", model), 0);
-      case 1 -> table.put(TestEndpoints.endpoint(id, "west", now, Set.of(), "a", model), 0);
+      case 0 -> table.put(TestEndpoints.endpoint(id, "west", model), now);
+      case 1 -> table.put(TestEndpoints.endpoint(id, "west", now, Set.of(), "a", model), now);
       case 2, 3 -> table.find(id).ifPresent(update);
       case 4 -> table.remove(id, now);
-      default -> table.put(TestEndpoints.endpoint(id, "west"), 0);
+      default -> table.put(TestEndpoints.endpoint(id, "west"), now);
     }
   }
 
