--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/TestNodes.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/TestNodes.java
@@ -77,6 +77,25 @@
         new MetricRegistry());
   }
 
+  /**
+   * Returns the context of a VM of a simulated fleet, without event loop and log.
+   *
+   * @param now value of the clock, in ms
+   * @param ip IP address of the VM
+   * @param domain its failure domain
+   * @param domains all failure domains
+   * @return the context
+   */
+  public static NodeContext inFleet(
+      AtomicLong now, String ip, String domain, List<String> domains) {
+    return new NodeContext(
+        settings(ip, domain, 1, domains),
+        null,
+        now::get,
+        new EventLog(OutputStream.nullOutputStream(), now::get, ip, new Counter()),
+        new MetricRegistry());
+  }
+
   /**
    * Returns a customer whose rate limit counts tokens.
    *
@@ -90,10 +109,15 @@
   }
 
   private static NodeSettings settings(String ip, int callerPort, List<String> domains) {
+    return settings(ip, domains.get(0), callerPort, domains);
+  }
+
+  private static NodeSettings settings(
+      String ip, String domain, int callerPort, List<String> domains) {
     return new NodeSettings(
         "vm",
         ip,
-        domains.get(0),
+        domain,
         domains,
         true,
         callerPort,
