--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/LoadTracker.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/LoadTracker.java
@@ -8,6 +8,7 @@
 import io.kumquatspindle.node.peer.Peers;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 
@@ -63,17 +64,26 @@
     return fetchedModels;
   }
 
-  /** Applies a change that the holder of an endpoint has made there. */
-  void apply(Endpoint endpoint, NodeMessage.Changed c) {
+  /**
+   * Applies a change that the holder of an endpoint has made there.
+   *
+   * @param endpoint the endpoint
+   * @param c the change
+   * @param own whether this VM is the holder, which logs the change
+   */
+  void apply(Endpoint endpoint, NodeMessage.Changed c, boolean own) {
     long now = node.now();
     switch (c.kind()) {
       case LOADING -> {
         fetchedModels.add(c.model());
         loads.started(endpoint.id(), c.model(), c.fromStore(), c.forMs(), now);
+        if (own && c.fromStore()) {
+          logStoreLoad(endpoint, c.model(), now);
+        }
       }
       case LOADED -> {
         if (c.adapter().isEmpty()) {
-          loads.ended(endpoint.id(), now).ifPresent(l -> log("load_ended", l));
+          loads.ended(endpoint.id(), now).filter(l -> own).ifPresent(l -> log("load_ended", l));
         }
         endpoint.updateHolding(c.model(), c.adapter(), true, now);
         loadedListener.run();
@@ -96,6 +106,19 @@
         .isPresent();
   }
 
+  private void logStoreLoad(Endpoint endpoint, String model, long now) {
+    node.log()
+        .line("store_load_begun")
+        .field("endpoint", endpoint.id())
+        .field("model", model)
+        .field("replicas", node.endpoints().holders(endpoint.entry().service(), model, now).size())
+        .field("loading", loads.endpointsLoading(model, Long.MAX_VALUE, now).size())
+        .field("per_s", String.format(Locale.ROOT, "%.3f", node.demand().rate(model, now)))
+        .field("store_loads", loads.storeLoadCount(now))
+        .field("store_limit", loads.storeLoadLimit())
+        .write();
+  }
+
   private void log(String event, ActiveLoads.Report load) {
     node.log()
         .line(event)
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -211,7 +211,7 @@
    * @param c the change
    */
   public void onPeerChange(NodeMessage.Changed c) {
-    node.endpoints().find(c.endpoint()).ifPresent(e -> loads.apply(e, c));
+    node.endpoints().find(c.endpoint()).ifPresent(e -> loads.apply(e, c, false));
   }
 
   @Override
@@ -380,7 +380,7 @@
     Optional<ModelInfo> model =
         engine(e.entry().service()).flatMap(x -> Optional.ofNullable(x.models().get(c.model())));
     NodeMessage.Changed m = ChangeMessages.of(e, c, model, ordersOf(e).heldBefore(c.model()));
-    loads.apply(e, m);
+    loads.apply(e, m, true);
     peers.broadcast(m);
   }
 
