Loads: a load at full speed says nothing of the ones that began after it

Callers waited longer for their models than the weight store needed: the number of loads at once stayed at 4 from 2 to 21 s of the play, at a store that serves two. The store slows down a load by those that run when it begins, and not by later ones. The estimate took the mean number during a load for what the store bears at full speed, so that two loads at full speed beside later ones counted as four at once. Now it takes the loads beside which it began. The new test fails before: limit 4 after two loads.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/StoreLoadLimit.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/StoreLoadLimit.java
@@ -65,11 +65,13 @@
     private final long startMs;
     private final long seenMs;
     private final double loadMillisBefore;
+    private final int othersBefore;
 
-    private Observation(long startMs, long seenMs, double loadMillisBefore) {
+    private Observation(long startMs, long seenMs, double loadMillisBefore, int othersBefore) {
       this.startMs = startMs;
       this.seenMs = seenMs;
       this.loadMillisBefore = loadMillisBefore;
+      this.othersBefore = othersBefore;
     }
   }
 
@@ -106,7 +108,7 @@
 
   /** Begins to observe a load that started at a given time. */
   Observation observe(long startMs, long now) {
-    return new Observation(startMs, now, loadMillisAt(now));
+    return new Observation(startMs, now, loadMillisAt(now), concurrency);
   }
 
   /** Handles that a load is still in progress; it counts once it is slow. */
@@ -130,7 +132,10 @@
     double mean = meanConcurrency(load, now);
     boolean slow = ratio > SLOW;
     boolean slowedByOthers = slow && mean >= MIN_CONCURRENCY;
-    Sample sample = new Sample(slow ? mean / ratio : mean, slow, now);
+    // A store may slow down only the loads that begin beside others: at full speed, a load says
+    // nothing of those that began after it.
+    double atFullSpeed = Math.min(mean, load.othersBefore + 1);
+    Sample sample = new Sample(slow ? mean / ratio : atFullSpeed, slow, now);
     if (!ended && slowedByOthers) {
       lateLoads.put(load, sample);
     } else if (ended && (slowedByOthers || !slow)) {
@@ -141,7 +146,9 @@
     if (slowLoads >= MIN_SLOW_SAMPLES) {
       limit = (int) Math.max(1, Math.min(maximum, Math.round(capacity())));
       lastSlowMs = slowedByOthers ? now : lastSlowMs;
-    } else if (mean > limit - 0.5 && now - lastSlowMs >= PROBE_INTERVAL_MS) {
+    } else if (!slowedByOthers
+        && atFullSpeed > limit - 0.5
+        && now - lastSlowMs >= PROBE_INTERVAL_MS) {
       limit = Math.min(maximum, limit + 1);
     }
   }
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/ActiveLoadsTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/ActiveLoadsTests.java
@@ -151,6 +151,23 @@
     assertTrue(loads.storeLoadLimit() > 1);
   }
 
+  @Test
+  @DisplayName("that begin later than one at full speed do not count as if they ran at full speed")
+  void laterLoadsSlowedDownOnly() {
+    // The store serves two at once and does not slow down those that began before.
+    loads.started("a", "m", true, LOAD_MS, 0);
+    loads.started("b", "m", true, LOAD_MS, 0);
+    loads.started("c", "m", true, LOAD_MS, 100);
+    loads.started("d", "m", true, LOAD_MS, 100);
+    loads.ended("a", LOAD_MS);
+    loads.ended("b", LOAD_MS);
+    assertTrue(loads.storeLoadLimit() <= 3, "limit " + loads.storeLoadLimit());
+
+    loads.ended("c", 100 + 3 * LOAD_MS / 2);
+    loads.ended("d", 100 + 2 * LOAD_MS);
+    assertEquals(2, loads.storeLoadLimit());
+  }
+
   @Test
   @DisplayName("are not brought back by a report that is older than their end")
   void lateReport() {
