Loads: the order in which loads that began together are known says nothing of the store

Loads that began together and have not ended no longer count. The new test fails without that: limit 4 instead of 3.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/ActiveLoads.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/ActiveLoads.java
@@ -166,12 +166,20 @@
       return Optional.empty();
     }
     if (e.fromStore) {
-      storeLimit.ended(e.observation, e.expectedMs, now);
+      storeLimit.ended(e.observation, e.expectedMs, peers(e), now);
     }
     countStoreLoads(now);
     return Optional.of(report(endpoint, e, now));
   }
 
+  /** Returns the number of loads from the weight store that began together with one. */
+  private int peers(Entry e) {
+    return (int)
+        byEndpoint.values().stream()
+            .filter(x -> x.fromStore && Math.abs(x.startMs - e.startMs) <= REORDERING_MS)
+            .count();
+  }
+
   private static Report report(String endpoint, Entry e, long now) {
     return new Report(endpoint, e.model, e.fromStore, now - e.startMs, e.expectedMs);
   }
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/StoreLoadLimit.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/StoreLoadLimit.java
@@ -114,16 +114,24 @@
   /** Handles that a load is still in progress; it counts once it is slow. */
   void inProgress(Observation load, long expectedMs, long now) {
     if (now - load.startMs > SLOW * expectedMs) {
-      add(load, expectedMs, false, now);
+      add(load, expectedMs, false, 0, now);
     }
   }
 
-  /** Handles the end of a load. */
-  void ended(Observation load, long expectedMs, long now) {
-    add(load, expectedMs, true, now);
+  /**
+   * Handles the end of a load.
+   *
+   * @param load the load
+   * @param expectedMs its expected duration without other loads, in ms
+   * @param unendedPeers number of loads that began together with it and have not ended, so that the
+   *     store may have taken it before them
+   * @param now current time, in ms
+   */
+  void ended(Observation load, long expectedMs, int unendedPeers, long now) {
+    add(load, expectedMs, true, unendedPeers, now);
   }
 
-  private void add(Observation load, long expectedMs, boolean ended, long now) {
+  private void add(Observation load, long expectedMs, boolean ended, int unendedPeers, long now) {
     lateLoads.remove(load);
     double ratio = (double) (now - load.startMs) / Math.max(1, expectedMs);
     if (ratio < COPY) {
@@ -134,7 +142,7 @@
     boolean slowedByOthers = slow && mean >= MIN_CONCURRENCY;
     // A store may slow down only the loads that begin beside others: at full speed, a load says
     // nothing of those that began after it.
-    double atFullSpeed = Math.min(mean, load.othersBefore + 1);
+    double atFullSpeed = Math.min(mean, load.othersBefore + 1 - unendedPeers);
     Sample sample = new Sample(slow ? mean / ratio : atFullSpeed, slow, now);
     if (!ended && slowedByOthers) {
       lateLoads.put(load, sample);
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/ActiveLoadsTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/ActiveLoadsTests.java
@@ -168,6 +168,25 @@
     assertEquals(2, loads.storeLoadLimit());
   }
 
+  @Test
+  @DisplayName("that begin together do not raise the number by the order in which they are known")
+  void begunTogether() {
+    for (String e : List.of("a", "b")) {
+      loads.started(e, "m", true, LOAD_MS, 0);
+    }
+    loads.ended("a", LOAD_MS);
+    loads.ended("b", LOAD_MS);
+    assertEquals(3, loads.storeLoadLimit());
+    // The store serves two at once, and takes the one that is known last before the others.
+    for (String e : List.of("c", "a", "b")) {
+      loads.started(e, "m", true, LOAD_MS, 20_000);
+    }
+    loads.ended("b", 20_000 + LOAD_MS);
+    loads.ended("a", 20_010 + LOAD_MS);
+
+    assertEquals(3, loads.storeLoadLimit());
+  }
+
   @Test
   @DisplayName("are not brought back by a report that is older than their end")
   void lateReport() {
