Loads: one VM assigns the loads from the weight store, by the requests that nobody can serve

Cause: the weight store belongs to all VMs, and nobody decided between its uses. A holder used a free place for what it happened to want, in the tenth of a second in which all others did the same: seven loads from 0.9 to 2.1 s, three of one model, and not one more until the traffic ended. A refused request took its load request with it.

Change: the holder of one partition, in the first failure domain that is not cut off, assigns the loads (StoreLoadCoordinator): first the models with the most requests that no replica can serve, known to all VMs from their digests whether they were refused or not, then models in high demand that a failure domain lacks, then prefetches, of models without a copy before second copies. Without a reachable coordinator each VM decides by itself as before. Models in high demand no longer use twice the limit.

Evidence: StoreLoadFleetTests failed for all seeds (further copies, up to nine loads at once) and passes, also after the failure domain of the coordinator is lost.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PrefetchPlanner.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/PrefetchPlanner.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,14 +29,6 @@
   private final ModelDemand demand;
   private final ActiveLoads loads;
 
-  /**
-   * The model that each endpoint should fetch, by service and endpoint. Reused for all calls with
-   * the same time.
-   */
-  private final Map<String, Map<String, String>> plans = new HashMap<>();
-
-  private long plansMs = Long.MIN_VALUE;
-
   /**
    * Creates a planner.
    *
@@ -50,28 +43,15 @@
   }
 
   /**
-   * Returns the next model that an endpoint should fetch.
+   * Assigns each model with too few copies to one endpoint.
    *
-   * @param endpoint the endpoint
-   * @param engine properties shared by the engines of its service
+   * @param service name of the service
+   * @param engine properties shared by the engines of the service
    * @param previouslyHeld additional models that an endpoint is known to have held
    * @param now current time, in ms
-   * @return name of the model, or empty if the endpoint should not fetch a model now
+   * @return the model that each endpoint should fetch, by endpoint ID, the most important one first
    */
-  public Optional<String> nextModel(
-      Endpoint endpoint, EngineInfo engine, Set<String> previouslyHeld, long now) {
-    if (plansMs != now || !plans.containsKey(endpoint.entry().service())) {
-      plans.keySet().removeIf(service -> plansMs != now);
-      plansMs = now;
-      plans.put(
-          endpoint.entry().service(),
-          plan(endpoint.entry().service(), engine, previouslyHeld, now));
-    }
-    return Optional.ofNullable(plans.get(endpoint.entry().service()).get(endpoint.id()));
-  }
-
-  /** Plans for all endpoints of a service, and assigns each missing model to one endpoint. */
-  private Map<String, String> plan(
+  public Map<String, String> plan(
       String service, EngineInfo engine, Set<String> previouslyHeld, long now) {
     Map<String, Integer> copies = new HashMap<>();
     previouslyHeld.forEach(m -> copies.merge(m, 1, Integer::sum));
@@ -83,14 +63,11 @@
         idle.add(new Candidate(e, modelsWithCopy, loads.loadAt(e.id(), now).isPresent()));
       }
     }
-    Map<String, String> plan = new HashMap<>();
+    Map<String, String> plan = new LinkedHashMap<>();
     engine.models().values().stream()
         .filter(m -> copies.getOrDefault(m.name(), 0) < targetCopies(m))
-        .map(m -> new Missing(m.name(), targetCopies(m), Hashes.of(m.name())))
-        .sorted(
-            Comparator.comparingInt(Missing::targetCopies)
-                .thenComparingLong(Missing::hash)
-                .reversed())
+        .map(m -> missing(m, copies.containsKey(m.name())))
+        .sorted(Missing.BY_IMPORTANCE)
         .forEach(
             m ->
                 fetchingEndpoint(m, idle)
@@ -99,8 +76,19 @@
     return plan;
   }
 
+  private static Missing missing(ModelInfo model, boolean hasCopy) {
+    return new Missing(model.name(), hasCopy, targetCopies(model), Hashes.of(model.name()));
+  }
+
   /** A model with too few copies, and the hash of its name, which is compared often. */
-  private record Missing(String model, int targetCopies, long hash) {}
+  private record Missing(String model, boolean hasCopy, int targetCopies, long hash) {
+    private static final Comparator<Missing> BY_IMPORTANCE =
+        Comparator.comparing(Missing::hasCopy)
+            .thenComparing(
+                Comparator.comparingInt(Missing::targetCopies)
+                    .thenComparingLong(Missing::hash)
+                    .reversed());
+  }
 
   /** An endpoint that is not busy. */
   private record Candidate(Endpoint endpoint, Set<String> modelsWithCopy, boolean loading) {}
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/ReplicaPolicy.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/ReplicaPolicy.java
@@ -100,6 +100,25 @@
     return rate >= HOT_PER_S && others.stream().noneMatch(e -> sameDomain(e, endpoint));
   }
 
+  /**
+   * Returns the rate of the requests for a model that its replicas cannot serve.
+   *
+   * @param service name of the service
+   * @param model name of the model
+   * @param now current time, in ms
+   * @return requests per second beyond the capacity of the replicas, including those being loaded
+   */
+  public double unservedRate(String service, String model, long now) {
+    double rate = demand.longTermRate(model, now);
+    if (rate == 0) {
+      return 0;
+    }
+    List<Endpoint> replicas = new ArrayList<>(holders(service, model, now));
+    replicas.addAll(loadingEndpoints(service, model, Long.MAX_VALUE, now));
+    long usable = replicas.stream().filter(e -> e.unrestricted(now)).count();
+    return Math.max(0, rate - usable * REPLICA_CAPACITY_PER_S);
+  }
+
   /**
    * Returns whether an additional replica of a model in demand may be needed in a failure domain.
    * Cheaper than calling {@link #replicaNeeded} for each endpoint, and never false if that returns
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/DecisionScaleTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/DecisionScaleTests.java
@@ -3,9 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.kumquatspindle.api.fleet.EngineInfo;
+import io.kumquatspindle.api.fleet.ServiceInfo;
 import java.lang.management.ManagementFactory;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
@@ -37,6 +40,9 @@
   /** Prefetch decisions: one every 300 ms. */
   private static final double PREFETCHES_PER_S = 1 / 0.3;
 
+  /** Decisions on loads from the weight store: one every 200 ms. */
+  private static final double STORE_LOAD_DECISIONS_PER_S = 5;
+
   private final EndpointTable endpoints = new EndpointTable();
   private final ModelDemand demand = new ModelDemand();
   private final ActiveLoads loads = new ActiveLoads(4);
@@ -114,6 +120,21 @@
                 TestEndpoints.SERVICE, engine.models().get(model((int) (++now))), "", now));
   }
 
+  @Test
+  @DisplayName("on which model the weight store loads next stays within its time budget")
+  void storeLoad() {
+    StoreLoadPlanner planner = new StoreLoadPlanner(endpoints, demand, loads, replicas, chooser);
+    ServiceInfo service = new ServiceInfo(TestEndpoints.SERVICE, Optional.of(engine));
+    List<String> domains = IntStream.range(0, 9).mapToObj(d -> "d" + d).toList();
+    assertWithin(
+        CONTROL_MS_PER_S / STORE_LOAD_DECISIONS_PER_S,
+        20,
+        () -> {
+          demand.addRequests("m" + 7 * ++now % MODELS, 1, now);
+          planner.nextRequested(List.of(service), domains, (e, m) -> false, now);
+        });
+  }
+
   @Test
   @DisplayName("on which model to prefetch stays within its time budget")
   void prefetch() {
@@ -127,9 +148,7 @@
         5,
         () -> {
           now++;
-          for (int i = 0; i < 2; i++) {
-            prefetch.nextModel(endpoints.find("i-" + i).orElseThrow(), engine, Set.of(), now);
-          }
+          prefetch.plan(TestEndpoints.SERVICE, engine, Set.of(), now);
         });
   }
 }
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementChooserTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/PlacementChooserTests.java
@@ -6,7 +6,6 @@
 
 import io.kumquatspindle.api.fleet.EngineInfo;
 import io.kumquatspindle.api.fleet.ModelInfo;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -129,11 +128,7 @@
 
   private Map<String, String> prefetched(EngineInfo engine) {
     PrefetchPlanner prefetch = new PrefetchPlanner(endpoints, demand, loads);
-    Map<String, String> chosen = new HashMap<>();
-    for (Endpoint e : endpoints.all()) {
-      prefetch.nextModel(e, engine, Set.of(), 0).ifPresent(m -> chosen.put(e.id(), m));
-    }
-    return chosen;
+    return prefetch.plan(TestEndpoints.SERVICE, engine, Set.of(), 0);
   }
 
   @Test
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -53,6 +53,9 @@
   /** Interval of the checks for models with growing demand, in ms. */
   private static final long DEMAND_CHECK_INTERVAL_MS = 300;
 
+  /** Interval of the assignments of loads from the weight store, in ms. */
+  private static final long STORE_LOAD_INTERVAL_MS = 200;
+
   /** Interval of the checks of group membership and failure domains, in ms. */
   private static final long GROUP_CHECK_INTERVAL_MS = 100;
 
@@ -186,6 +189,7 @@
             quotas.sendDigests(
                 ownership.fencingNumber(), ownership.heldPartitions(), permits.heldLimits()));
     scheduleDemandChecks();
+    every(STORE_LOAD_INTERVAL_MS, "store_loads", orders::assignStoreLoads);
     ActivityLogger activity =
         new ActivityLogger(node.log(), node.metrics(), ProcessMetrics.times());
     every(
@@ -204,13 +208,7 @@
   private void scheduleDemandChecks() {
     long delayMs = ThreadLocalRandom.current().nextLong(PeriodicTasks.TICK_MS);
     Runnable spread = timed("spread", orders::scaleReplicas);
-    Runnable prefetch = timed("prefetch", orders::prefetch);
-    Runnable checks =
-        () -> {
-          spread.run();
-          prefetch.run();
-        };
-    periodicTasks.every(DEMAND_CHECK_INTERVAL_MS, () -> node.schedule(delayMs, checks));
+    periodicTasks.every(DEMAND_CHECK_INTERVAL_MS, () -> node.schedule(delayMs, spread));
   }
 
   private void every(long intervalMs, String taskName, Runnable task) {
@@ -277,7 +275,12 @@
     } else if (message instanceof NodeMessage.Known k) {
       peers.onKnown(k);
     } else if (message instanceof NodeMessage.Want w) {
-      orders.onLoadRequest(w.endpoint(), w.model(), w.adapter(), node.now() + w.goalInMs());
+      long goalMs = node.now() + w.goalInMs();
+      if (w.assigned()) {
+        orders.onStoreLoadAssigned(w.endpoint(), w.model(), goalMs);
+      } else {
+        orders.onLoadRequest(w.endpoint(), w.model(), w.adapter(), goalMs);
+      }
     } else if (message instanceof NodeMessage.Changed c) {
       orders.onPeerChange(c);
     } else if (message instanceof NodeMessage.Crash c) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/EndpointContext.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/EndpointContext.java
@@ -14,6 +14,7 @@
   private final NodeContext node;
   private final PartitionOwnership ownership;
   private final ReplicaPolicy replicaPolicy;
+  private final StoreLoadCoordinator storeLoads;
   private final Endpoint endpoint;
   private final OrderScheduler orders;
   private final EngineInfo engine;
@@ -22,12 +23,14 @@
       NodeContext node,
       PartitionOwnership ownership,
       ReplicaPolicy replicaPolicy,
+      StoreLoadCoordinator storeLoads,
       Endpoint endpoint,
       OrderScheduler orders,
       EngineInfo engine) {
     this.node = node;
     this.ownership = ownership;
     this.replicaPolicy = replicaPolicy;
+    this.storeLoads = storeLoads;
     this.endpoint = endpoint;
     this.orders = orders;
     this.engine = engine;
@@ -56,7 +59,7 @@
   public boolean mayLoad(String model) {
     ModelInfo info = engine.models().get(model);
     boolean fromStore = loadMs(model) == info.storeLoadMs();
-    return !fromStore || node.activeLoads().mayStartFromStore(requestRate(model), node.now());
+    return !fromStore || storeLoads.mayLoad(endpoint.id(), model);
   }
 
   @Override
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/OrderController.java
@@ -10,7 +10,6 @@
 import io.kumquatspindle.engine.fleet.OrderContext;
 import io.kumquatspindle.engine.fleet.OrderScheduler;
 import io.kumquatspindle.engine.fleet.PlacementChooser;
-import io.kumquatspindle.engine.fleet.PrefetchPlanner;
 import io.kumquatspindle.engine.fleet.ReplicaPolicy;
 import io.kumquatspindle.node.NodeContext;
 import io.kumquatspindle.node.peer.NodeMessage;
@@ -26,11 +25,14 @@
 /** Sends orders to the endpoints this VM holds; forwards load requests for other endpoints. */
 public final class OrderController implements ModelLoader {
   /** Age after which a load request expires unless it is repeated, in ms. */
-  private static final long LOAD_REQUEST_TTL_MS = 3_000;
+  static final long LOAD_REQUEST_TTL_MS = 3_000;
 
   /** Interval for dropping endpoints gone or held elsewhere, in ms; as the group tick's. */
   private static final long CLEANUP_INTERVAL_MS = 100;
 
+  /** Goal of a load that no caller waits for, in ms from now; longer than the goals of callers. */
+  private static final long GOAL_MS = 10_000;
+
   private final NodeContext node;
   private final PartitionOwnership ownership;
   private final Peers peers;
@@ -39,7 +41,7 @@
   private final LoadTracker loads;
   private final ReplicaPolicy replicaPolicy;
   private final PlacementChooser chooser;
-  private final PrefetchPlanner prefetch;
+  private final StoreLoadCoordinator storeLoads;
   private final ReplicaScaler scaler;
   private final Map<String, OrderScheduler> ordersByEndpoint = new HashMap<>();
   private final Map<String, Long> startTimes = new HashMap<>();
@@ -73,8 +75,19 @@
     this.chooser =
         new PlacementChooser(
             node.endpoints(), replicaPolicy, active, node.loadQueues(), node.activeRequests());
-    this.prefetch = new PrefetchPlanner(node.endpoints(), node.demand(), active);
-    this.scaler = new ReplicaScaler(node, ownership, replicaPolicy, chooser, this::requestLoadAt);
+    this.storeLoads =
+        new StoreLoadCoordinator(
+            node,
+            ownership,
+            peers,
+            transport.self(),
+            replicaPolicy,
+            chooser,
+            loads::fetchedModels,
+            (e, model) -> requestLoadAt(e, model, true));
+    this.scaler =
+        new ReplicaScaler(
+            node, ownership, replicaPolicy, chooser, (e, m) -> requestLoadAt(e, m, false));
     this.ordersSent = node.metrics().counter("orders_total");
   }
 
@@ -153,7 +166,7 @@
       onLoadRequest(e.id(), model, adapter, goalMs);
       return;
     }
-    NodeMessage.Want want = new NodeMessage.Want(e.id(), model, adapter, goalMs - now);
+    NodeMessage.Want want = new NodeMessage.Want(e.id(), model, adapter, goalMs - now, false);
     if (attempt == 1 && holder.isPresent()) {
       transport.send(holder.get(), want);
     } else {
@@ -254,7 +267,7 @@
   }
 
   private OrderContext context(Endpoint e, OrderScheduler orders, EngineInfo engine) {
-    return new EndpointContext(node, ownership, replicaPolicy, e, orders, engine);
+    return new EndpointContext(node, ownership, replicaPolicy, storeLoads, e, orders, engine);
   }
 
   /**
@@ -264,43 +277,36 @@
     scaler.tick();
   }
 
-  private void requestLoadAt(Endpoint e, String model, String adapter, long goalMs) {
+  /** Requests a load that no caller waits for. */
+  private void requestLoadAt(Endpoint e, String model, boolean assigned) {
     String endpointDomain = e.entry().domain();
-    if (ownership.holds(e.id(), endpointDomain)) {
-      onLoadRequest(e.id(), model, adapter, goalMs);
-    } else {
-      NodeMessage.Want want = new NodeMessage.Want(e.id(), model, adapter, goalMs - node.now());
+    long goalMs = node.now() + GOAL_MS;
+    if (!ownership.holds(e.id(), endpointDomain)) {
+      NodeMessage.Want want = new NodeMessage.Want(e.id(), model, "", GOAL_MS, assigned);
       ownership.holder(e.id(), endpointDomain).ifPresent(holder -> transport.send(holder, want));
+    } else if (assigned) {
+      onStoreLoadAssigned(e.id(), model, goalMs);
+    } else {
+      onLoadRequest(e.id(), model, "", goalMs);
     }
   }
 
-  /** Loads models that no endpoint has a copy of into free memory; called periodically. */
-  public void prefetch() {
-    long now = node.now();
-    for (Endpoint e : List.copyOf(node.endpoints().all())) {
-      Optional<EngineInfo> engine = engine(e.entry().service());
-      boolean mayOrder = ownership.holds(e.id(), e.entry().domain()) && ownership.mayOrder(e.id());
-      if (engine.isEmpty() || !mayOrder || e.leaving()) {
-        continue;
-      }
-      // A load blocks all other orders of its endpoint for seconds, so demand lowers the limit.
-      int maxLoads = node.demand().hasDemand() ? 1 : node.activeLoads().storeLoadLimit();
-      if (node.activeLoads().storeLoadCount(now) >= maxLoads) {
-        return;
-      }
-      OrderScheduler orders = ordersOf(e);
-      if (orders.requestedLoadCount() == 0) {
-        prefetch
-            .nextModel(e, engine.get(), loads.fetchedModels(), now)
-            .ifPresent(
-                m -> {
-                  node.log().line("prefetch").field("endpoint", e.id()).field("model", m).write();
-                  orders.requestLoad(m, "", now + ReplicaScaler.GOAL_MS, now);
-                  workListener.run();
-                  runNextStep(e, orders);
-                });
-      }
-    }
+  /** Assigns loads from the weight store if this VM coordinates them; called periodically. */
+  public void assignStoreLoads() {
+    storeLoads.tick();
+  }
+
+  /**
+   * Handles that the coordinator has assigned a load from the weight store to an endpoint; ignored
+   * if this VM does not hold the endpoint.
+   *
+   * @param endpoint identity of the endpoint
+   * @param model name of the model
+   * @param goalMs time by which the model should be loaded, in ms
+   */
+  public void onStoreLoadAssigned(String endpoint, String model, long goalMs) {
+    storeLoads.onAssigned(endpoint, model);
+    onLoadRequest(endpoint, model, "", goalMs);
   }
 
   private boolean noLongerOwned(String id) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/ReplicaScaler.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/ReplicaScaler.java
@@ -15,9 +15,6 @@
  * VMs the work.
  */
 final class ReplicaScaler {
-  /** Goal of a load that no caller waits for, in ms from now; longer than the goals of callers. */
-  static final long GOAL_MS = 10_000;
-
   private final NodeContext node;
   private final PartitionOwnership ownership;
   private final ReplicaPolicy replicaPolicy;
@@ -31,10 +28,8 @@
      *
      * @param endpoint the endpoint
      * @param model name of the model
-     * @param adapter name of the adapter, or empty text
-     * @param goalMs time by which the model should be loaded, in ms
      */
-    void requestLoad(Endpoint endpoint, String model, String adapter, long goalMs);
+    void requestLoad(Endpoint endpoint, String model);
   }
 
   ReplicaScaler(
@@ -73,6 +68,6 @@
             e ->
                 replicaPolicy.replicaNeeded(
                     e, model.name(), PlacementChooser.loadMs(e.entry(), model), now))
-        .ifPresent(e -> requests.requestLoad(e, model.name(), "", now + GOAL_MS));
+        .ifPresent(e -> requests.requestLoad(e, model.name()));
   }
 }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/NodeMessage.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/NodeMessage.java
@@ -120,8 +120,10 @@
    * @param model name of the model
    * @param adapter name of the adapter, or empty text
    * @param goalInMs time from now until the first caller should be served, in ms; negative if past
+   * @param assigned whether the sender assigns the loads from the weight store, and has chosen this
+   *     one
    */
-  record Want(String endpoint, String model, String adapter, long goalInMs)
+  record Want(String endpoint, String model, String adapter, long goalInMs, boolean assigned)
       implements NodeMessage {}
 
   /**
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerCodec.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerCodec.java
@@ -63,7 +63,7 @@
         packTexts(p.packInt(CRASH).packString(c.endpoint()), c.parts());
       } else if (message instanceof NodeMessage.Want w) {
         p.packInt(WANT).packString(w.endpoint()).packString(w.model()).packString(w.adapter());
-        p.packLong(w.goalInMs());
+        p.packLong(w.goalInMs()).packBoolean(w.assigned());
       } else if (message instanceof NodeMessage.Changed c) {
         p.packInt(CHANGED).packString(c.endpoint()).packString(c.model()).packString(c.adapter());
         p.packInt(c.kind().ordinal()).packBoolean(c.fromStore()).packLong(c.forMs());
@@ -155,7 +155,11 @@
         case DIGEST -> unpackDigest(u);
         case WANT ->
             new NodeMessage.Want(
-                u.unpackString(), u.unpackString(), u.unpackString(), u.unpackLong());
+                u.unpackString(),
+                u.unpackString(),
+                u.unpackString(),
+                u.unpackLong(),
+                u.hasNext() && u.unpackBoolean());
         case CHANGED -> unpackChanged(u);
         case KNOWN -> new NodeMessage.Known(unpackTexts(u));
         case LIMIT -> unpackLimit(u);
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/Peers.java
@@ -218,7 +218,7 @@
     if (d.name.equals(node.settings().domain()) || now - d.lastDigestMs <= MIN_DOMAIN_TIMEOUT_MS) {
       return false;
     }
-    long cycleMs = roundsPerCycle() * DIGEST_INTERVAL_MS;
+    long cycleMs = digestCycleMs();
     int due = 0;
     int missed = 0;
     for (Peer p : d.peers) {
@@ -244,13 +244,22 @@
     return Math.max(1, (byAddress.size() + MAX_DIGESTS_PER_ROUND - 1) / MAX_DIGESTS_PER_ROUND);
   }
 
+  /**
+   * Returns the time in which each peer gets one digest.
+   *
+   * @return time in ms
+   */
+  public long digestCycleMs() {
+    return roundsPerCycle() * DIGEST_INTERVAL_MS;
+  }
+
   /**
    * Returns the time without a digest after which a peer is considered unreachable.
    *
    * @return time in ms
    */
   public long peerTimeoutMs() {
-    return MISSED_DIGESTS_LIMIT * roundsPerCycle() * DIGEST_INTERVAL_MS;
+    return MISSED_DIGESTS_LIMIT * digestCycleMs();
   }
 
   /**
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/StoreLoadFleet.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/StoreLoadFleet.java
@@ -54,6 +54,7 @@
   private static final long STEP_MS = 20;
   private static final long TICK_MS = 100;
   private static final long DEMAND_CHECK_MS = 300;
+  private static final long ASSIGNMENT_MS = 200;
   private static final long HEARTBEAT_MS = 1_200;
   private static final long MESSAGE_MS = 5;
 
@@ -143,7 +144,11 @@
         peers.onKnown(k);
       } else if (message instanceof NodeMessage.Want w) {
         long goalMs = now.get() + w.goalInMs();
-        orders.onLoadRequest(w.endpoint(), w.model(), w.adapter(), goalMs);
+        if (w.assigned()) {
+          orders.onStoreLoadAssigned(w.endpoint(), w.model(), goalMs);
+        } else {
+          orders.onLoadRequest(w.endpoint(), w.model(), w.adapter(), goalMs);
+        }
       } else if (message instanceof NodeMessage.Changed c) {
         orders.onPeerChange(c);
       }
@@ -162,13 +167,11 @@
       if (now.get() % Peers.DIGEST_INTERVAL_MS == 0) {
         quotas.sendDigests(ownership.fencingNumber(), ownership.heldPartitions(), Set.of());
       }
+      if (now.get() % ASSIGNMENT_MS == 0) {
+        orders.assignStoreLoads();
+      }
       if (now.get() % DEMAND_CHECK_MS == 0) {
-        after(
-            delayMs,
-            () -> {
-              orders.scaleReplicas();
-              orders.prefetch();
-            });
+        after(delayMs, orders::scaleReplicas);
       }
     }
 
@@ -356,9 +359,11 @@
     events.add(new Event(now.get() + delayMs, ++lastEvent, action));
   }
 
-  /** Ends all messages from and to the VMs for which a test holds, as if they had failed. */
-  void silence(Set<String> addresses) {
-    silentVms.addAll(addresses);
+  /** Stops the VMs of a failure domain, without a trace in the store. */
+  void stopDomain(String domain) {
+    vms.values().stream()
+        .filter(v -> v.node.settings().domain().equals(domain))
+        .forEach(v -> silentVms.add(v.address));
   }
 
   /** Returns the loads from the weight store that began since a time, in ms. */
@@ -370,10 +375,6 @@
     return now.get();
   }
 
-  Set<String> addresses() {
-    return vms.keySet();
-  }
-
   /** Returns the number of requests by model. */
   Map<String, Integer> requests() {
     return requests;
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/StoreLoadFleetTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/StoreLoadFleetTests.java
@@ -31,6 +31,9 @@
    */
   private static final int MIN_ENDED = 5;
 
+  /** Time in which 20 VMs notice that others are lost, and know the loads in progress, in ms. */
+  private static final long LOSS_NOTICED_MS = 4_000;
+
   /** Share of the requests that the best choice of models would have served. */
   private static final double MIN_SHARE_OF_BEST = 0.8;
 
@@ -77,6 +80,21 @@
     assertTrue(share >= MIN_SHARE_OF_BEST, "share of the best choice " + share);
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  @DisplayName("goes on loading after the failure domain that assigns the loads has been lost")
+  void coordinatorLost(long seed) {
+    StoreLoadFleet fleet = new StoreLoadFleet(seed, MISSING);
+    fleet.run(LEAD_MS, Map.of());
+    fleet.run(10_000, demand());
+    fleet.stopDomain("d0");
+    long lost = fleet.now();
+    fleet.run(LOSS_NOTICED_MS + 2 * StoreLoadFleet.STORE_LOAD_MS, demand());
+
+    List<StoreLoadFleet.StoreLoad> after = fleet.storeLoadsSince(lost + LOSS_NOTICED_MS);
+    assertTrue(after.size() >= 2, "loads " + after);
+  }
+
   private static List<String> best(StoreLoadFleet fleet, Set<String> models, int count) {
     return models.stream()
         .sorted(Comparator.comparingInt((String m) -> -requests(fleet, List.of(m))))
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeerCodecTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeerCodecTests.java
@@ -46,7 +46,8 @@
         new NodeMessage.PermitReply(3, NodeMessage.PermitReply.Result.REJECTED, 1_200),
         new NodeMessage.Crash("e/1", Set.of("5c", "e4")),
         new NodeMessage.Known(Set.of("10.0.0.1:7600", "10.0.0.2:7600")),
-        new NodeMessage.Want("e", "m", "a1", -250),
+        new NodeMessage.Want("e", "m", "a1", -250, false),
+        new NodeMessage.Want("e", "m", "", 10_000, true),
         new NodeMessage.Changed("e", "m", "", NodeMessage.Changed.Kind.LOADING, true, 6_000));
   }
 
