--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/UpstreamClient.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/UpstreamClient.java
@@ -1,6 +1,7 @@
 package io.kumquatspindle.entry.dispatch;
 
 import io.kumquatspindle.entry.request.IncomingRequest;
+import io.kumquatspindle.transport.platform.ResponseChecks;
 import java.io.IOException;
 import java.net.Proxy;
 import java.time.Duration;
@@ -51,7 +52,7 @@
             // RunningAttempts and the timer of each attempt enforce stall limits and deadlines.
             .readTimeout(Duration.ZERO)
             .eventListenerFactory(UpstreamClient::sendTracker)
-            .addNetworkInterceptor(UpstreamClient::withoutRetryAfter)
+            .addNetworkInterceptor(UpstreamClient::checkedWithoutRetryAfter)
             .build();
   }
 
@@ -103,7 +104,9 @@
 
   // OkHttp resends a call after a 503 with "Retry-After: 0", even if the call must run at most
   // once.
-  private static Response withoutRetryAfter(Interceptor.Chain chain) throws IOException {
-    return chain.proceed(chain.request()).newBuilder().removeHeader("Retry-After").build();
+  private static Response checkedWithoutRetryAfter(Interceptor.Chain chain) throws IOException {
+    Response response = chain.proceed(chain.request());
+    ResponseChecks.requireAnswer(response);
+    return response.newBuilder().removeHeader("Retry-After").build();
   }
 }
--- /dev/null
+++ b/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/dispatch/UpstreamClientTests.java
@@ -0,0 +1,83 @@
+package io.kumquatspindle.entry.dispatch;
+
+import static java.nio.charset.StandardCharsets.US_ASCII;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.kumquatspindle.entry.request.IncomingRequest;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import okhttp3.Response;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against part of an answer, or an answer without a status, that reaches its caller. */
+@DisplayName("A call to an endpoint")
+class UpstreamClientTests {
+  private static final String FAILED = "failed";
+
+  /** More than the kernel buffers for sending, in bytes. */
+  private static final int LONG_BODY_BYTES = 32 * 1024 * 1024;
+
+  private final UpstreamClient client = new UpstreamClient();
+  private ServerSocket endpoint;
+
+  @BeforeEach
+  void start() throws IOException {
+    endpoint = new ServerSocket();
+    endpoint.setReceiveBufferSize(65_536);
+    endpoint.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    client.close();
+    endpoint.close();
+  }
+
+  /** Returns status and body of the response, or {@link #FAILED}. */
+  private CompletableFuture<String> call(int bodyBytes) {
+    String url = "http://127.0.0.1:" + endpoint.getLocalPort();
+    IncomingRequest request =
+        new IncomingRequest("POST", "/", "", Map.of(), new byte[bodyBytes], 0);
+    AttemptHeaders headers = new AttemptHeaders("a-1", "t", new SendTracker());
+    return CompletableFuture.supplyAsync(
+        () -> {
+          try (Response r = client.prepare(url, "/", request, headers).execute()) {
+            return r.code() + " " + r.body().string();
+          } catch (IOException e) {
+            return FAILED;
+          } catch (UncheckedIOException e) {
+            return "unexpected " + e;
+          }
+        });
+  }
+
+  private void answerAndReset(String answer) throws IOException {
+    try (Socket s = endpoint.accept()) {
+      s.getOutputStream().write(answer.getBytes(US_ASCII));
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+      s.setSoLinger(true, 0);
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "600", "999"})
+  @DisplayName("that is answered with a status that HTTP does not have has failed")
+  void invalidStatus(String status) throws Exception {
+    CompletableFuture<String> result = call(0);
+    answerAndReset("HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok");
+
+    assertEquals(FAILED, result.get(15, TimeUnit.SECONDS));
+  }
+}
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EndpointConnection.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/EndpointConnection.java
@@ -143,7 +143,8 @@
         return;
       }
       if (object instanceof HttpResponse response) {
-        if (reused && ResponseHeads.isMerged(response)) {
+        boolean merged = reused && ResponseHeads.isMerged(response);
+        if (merged || !ResponseHeads.hasValidStatus(response)) {
           onMalformed();
           return;
         }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/PooledHttpClient.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/PooledHttpClient.java
@@ -189,6 +189,7 @@
           || !ctx.channel().isActive()
           || !(message instanceof FullHttpResponse response)
           || response.decoderResult().isFailure()
+          || !ResponseHeads.hasValidStatus(response)
           || ResponseHeads.isMerged(response)) {
         ctx.close();
         return;
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/PooledHttpClientTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/PooledHttpClientTests.java
@@ -28,6 +28,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 @DisplayName("Pooled HTTP client")
 class PooledHttpClientTests {
@@ -135,6 +137,22 @@
     }
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "600", "999"})
+  @DisplayName("does not take a response for complete whose status HTTP does not have")
+  void invalidStatus(String status) throws Exception {
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      CompletableFuture<PooledHttpClient.Result> call = call(listener.getLocalPort(), 0);
+      try (Socket s = listener.accept()) {
+        s.getOutputStream()
+            .write(
+                ("HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok")
+                    .getBytes(StandardCharsets.US_ASCII));
+        assertInstanceOf(PooledHttpClient.Result.Failed.class, call.get(5, TimeUnit.SECONDS));
+      }
+    }
+  }
+
   @Test
   @DisplayName("gives up a response that is larger than the limit")
   void largeResponse() throws Exception {
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/UpstreamRequestTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/UpstreamRequestTests.java
@@ -25,6 +25,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 @DisplayName("A request to an endpoint")
 class UpstreamRequestTests {
@@ -211,6 +213,21 @@
     }
   }
 
+  /** Guards against an answer without a status that reaches its caller. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "600", "999"})
+  @DisplayName("is failed by a status that HTTP does not have")
+  void invalidStatus(String status) throws Exception {
+    Recorder listener = new Recorder(true);
+    loop.execute(() -> send(listener));
+    try (Socket s = endpoint.accept()) {
+      assertEquals("sent", listener.next());
+      s.getOutputStream()
+          .write(("HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok").getBytes(US_ASCII));
+      assertEquals("failed", listener.next());
+    }
+  }
+
   private static void awaitUninterruptibly(CountDownLatch latch) {
     try {
       latch.await(TIMEOUT_MS, TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/platform/ResponseChecks.java
@@ -0,0 +1,31 @@
+package io.kumquatspindle.transport.platform;
+
+import java.io.IOException;
+import okhttp3.Response;
+
+/** Rejects responses that OkHttp accepts although they are not complete answers in HTTP. */
+public final class ResponseChecks {
+  private static final int MIN_STATUS = 100;
+  private static final int MAX_STATUS = 599;
+
+  private ResponseChecks() {}
+
+  /**
+   * Checks the head of a response, and closes a response that it rejects.
+   *
+   * @param response the response, whose body has not been read
+   * @return the response
+   * @throws IOException if the status is not one of HTTP
+   */
+  public static Response requireAnswer(Response response) throws IOException {
+    if (response.code() < MIN_STATUS || response.code() > MAX_STATUS) {
+      throw rejected(response, "invalid status " + response.code());
+    }
+    return response;
+  }
+
+  private static IOException rejected(Response response, String reason) {
+    response.close();
+    return new IOException(reason);
+  }
+}
--- a/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/platform/SingleAttemptHttpClient.java
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/platform/SingleAttemptHttpClient.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import okhttp3.Call;
 import okhttp3.ConnectionPool;
 import okhttp3.EventListener;
@@ -66,24 +65,25 @@
             .followRedirects(false)
             .eventListenerFactory(call -> CallListener.of(call, metrics))
             .addNetworkInterceptor(
-                // OkHttp retries a request after a 503 response with "Retry-After: 0".
                 chain -> {
                   Response r = chain.proceed(chain.request());
+                  ResponseChecks.requireAnswer(r);
+                  // OkHttp retries a request after a 503 response with "Retry-After: 0".
                   return r.newBuilder().removeHeader("Retry-After").build();
                 })
             .build();
   }
 
   HttpResult call(Request request, Duration timeout) {
-    AtomicBoolean sent = new AtomicBoolean();
-    Request tagged = request.newBuilder().tag(AtomicBoolean.class, sent).build();
+    CallState state = new CallState();
+    Request tagged = request.newBuilder().tag(CallState.class, state).build();
     Call call = client.newCall(tagged);
     call.timeout().timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
     try (Response response = call.execute()) {
       return read(response);
     } catch (IOException | RuntimeException e) {
       String reason = e.getClass().getSimpleName() + ": " + e.getMessage();
-      return sent.get() ? new HttpResult.Incomplete(reason) : new HttpResult.NotSent(reason);
+      return state.sent ? new HttpResult.Incomplete(reason) : new HttpResult.NotSent(reason);
     }
   }
 
@@ -114,26 +114,28 @@
     }
   }
 
-  /**
-   * Sets the flag attached to a request as its tag just before the first byte is sent, and updates
-   * the traffic metrics.
-   */
+  /** How far a request has been sent; attached to it as its tag. */
+  private static final class CallState {
+    private volatile boolean sent;
+  }
+
+  /** Updates the state of a call, just before its first byte is sent, and the traffic metrics. */
   private static final class CallListener extends EventListener {
-    private final AtomicBoolean sent;
+    private final CallState state;
     private final HttpMetrics metrics;
 
-    private CallListener(AtomicBoolean sent, HttpMetrics metrics) {
-      this.sent = sent;
+    private CallListener(CallState state, HttpMetrics metrics) {
+      this.state = state;
       this.metrics = metrics;
     }
 
     static EventListener of(Call call, HttpMetrics metrics) {
-      return new CallListener(call.request().tag(AtomicBoolean.class), metrics);
+      return new CallListener(call.request().tag(CallState.class), metrics);
     }
 
     @Override
     public void requestHeadersStart(Call call) {
-      sent.set(true);
+      state.sent = true;
     }
 
     @Override
--- /dev/null
+++ b/kumquatspindle-transport/src/test/java/io/kumquatspindle/transport/platform/SingleAttemptHttpClientTests.java
@@ -0,0 +1,66 @@
+package io.kumquatspindle.transport.platform;
+
+import static java.nio.charset.StandardCharsets.US_ASCII;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against a response that is taken for an answer although it is none. */
+@DisplayName("A call to a service of the platform")
+class SingleAttemptHttpClientTests {
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+  /** More than the kernel buffers for sending, in bytes. */
+  private static final int LONG_BODY_BYTES = 32 * 1024 * 1024;
+
+  private final SingleAttemptHttpClient client =
+      SingleAttemptHttpClient.withoutConnectionReuse(HttpMetrics.unregistered());
+  private ServerSocket server;
+
+  @BeforeEach
+  void start() throws IOException {
+    server = new ServerSocket();
+    server.setReceiveBufferSize(65_536);
+    server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    server.close();
+  }
+
+  private CompletableFuture<HttpResult> call(int bodyBytes) {
+    Request request =
+        new Request.Builder()
+            .url("http://127.0.0.1:" + server.getLocalPort() + "/")
+            .post(RequestBody.create(new byte[bodyBytes]))
+            .build();
+    return CompletableFuture.supplyAsync(() -> client.call(request, TIMEOUT));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "600", "999"})
+  @DisplayName("that is answered with a status that HTTP does not have is incomplete")
+  void invalidStatus(String status) throws Exception {
+    CompletableFuture<HttpResult> result = call(0);
+    try (Socket s = server.accept()) {
+      s.getOutputStream()
+          .write(("HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok").getBytes(US_ASCII));
+      assertInstanceOf(HttpResult.Incomplete.class, result.get(15, TimeUnit.SECONDS));
+    }
+  }
+}
