--- a/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/UpstreamClient.java
+++ b/kumquatspindle-entry/src/main/java/io/kumquatspindle/entry/dispatch/UpstreamClient.java
@@ -105,8 +105,9 @@
   // OkHttp resends a call after a 503 with "Retry-After: 0", even if the call must run at most
   // once.
   private static Response checkedWithoutRetryAfter(Interceptor.Chain chain) throws IOException {
+    SendTracker tracker = chain.request().tag(SendTracker.class);
     Response response = chain.proceed(chain.request());
-    ResponseChecks.requireAnswer(response);
+    ResponseChecks.requireAnswer(response, tracker == null || !tracker.sendFailed());
     return response.newBuilder().removeHeader("Retry-After").build();
   }
 }
--- a/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/dispatch/UpstreamClientTests.java
+++ b/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/dispatch/UpstreamClientTests.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -71,6 +72,24 @@
     }
   }
 
+  @Test
+  @DisplayName("that is answered without a length and reset while it is written has failed")
+  void resetWhileWritten() throws Exception {
+    CompletableFuture<String> result = call(LONG_BODY_BYTES);
+    answerAndReset("HTTP/1.1 200 OK\r\n\r\npart");
+
+    assertEquals(FAILED, result.get(15, TimeUnit.SECONDS));
+  }
+
+  @Test
+  @DisplayName("that is answered with a length before it is written has a complete answer")
+  void answeredEarly() throws Exception {
+    CompletableFuture<String> result = call(LONG_BODY_BYTES);
+    answerAndReset("HTTP/1.1 429 X\r\nContent-Length: 2\r\n\r\nno");
+
+    assertEquals("429 no", result.get(15, TimeUnit.SECONDS));
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"000", "099", "600", "999"})
   @DisplayName("that is answered with a status that HTTP does not have has failed")
--- a/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/platform/SingleAttemptHttpClient.java
+++ b/kumquatspindle-transport/src/main/java/io/kumquatspindle/transport/platform/SingleAttemptHttpClient.java
@@ -66,8 +66,9 @@
             .eventListenerFactory(call -> CallListener.of(call, metrics))
             .addNetworkInterceptor(
                 chain -> {
+                  CallState state = chain.request().tag(CallState.class);
                   Response r = chain.proceed(chain.request());
-                  ResponseChecks.requireAnswer(r);
+                  ResponseChecks.requireAnswer(r, !state.writeFailed);
                   // OkHttp retries a request after a 503 response with "Retry-After: 0".
                   return r.newBuilder().removeHeader("Retry-After").build();
                 })
@@ -117,6 +118,7 @@
   /** How far a request has been sent; attached to it as its tag. */
   private static final class CallState {
     private volatile boolean sent;
+    private volatile boolean writeFailed;
   }
 
   /** Updates the state of a call, just before its first byte is sent, and the traffic metrics. */
@@ -138,6 +140,11 @@
       state.sent = true;
     }
 
+    @Override
+    public void requestFailed(Call call, IOException e) {
+      state.writeFailed = true;
+    }
+
     @Override
     public void connectEnd(Call call, InetSocketAddress address, Proxy proxy, Protocol protocol) {
       metrics.connectionOpened();
--- a/kumquatspindle-transport/src/test/java/io/kumquatspindle/transport/platform/SingleAttemptHttpClientTests.java
+++ b/kumquatspindle-transport/src/test/java/io/kumquatspindle/transport/platform/SingleAttemptHttpClientTests.java
@@ -1,6 +1,7 @@
 package io.kumquatspindle.transport.platform;
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
 import java.io.IOException;
@@ -11,11 +12,13 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -52,6 +55,19 @@
     return CompletableFuture.supplyAsync(() -> client.call(request, TIMEOUT));
   }
 
+  @Test
+  @DisplayName("that is answered without a length and reset while it is written is incomplete")
+  void resetWhileWritten() throws Exception {
+    CompletableFuture<HttpResult> result = call(LONG_BODY_BYTES);
+    try (Socket s = server.accept()) {
+      s.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\npart".getBytes(US_ASCII));
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+      s.setSoLinger(true, 0);
+    }
+
+    assertInstanceOf(HttpResult.Incomplete.class, result.get(15, TimeUnit.SECONDS));
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"000", "099", "600", "999"})
   @DisplayName("that is answered with a status that HTTP does not have is incomplete")
@@ -63,4 +79,18 @@
       assertInstanceOf(HttpResult.Incomplete.class, result.get(15, TimeUnit.SECONDS));
     }
   }
+
+  @Test
+  @DisplayName("that is answered with a length before it is written has a complete answer")
+  void answeredEarly() throws Exception {
+    CompletableFuture<HttpResult> result = call(LONG_BODY_BYTES);
+    try (Socket s = server.accept()) {
+      s.getOutputStream().write("HTTP/1.1 429 X\r\nContent-Length: 2\r\n\r\nno".getBytes(US_ASCII));
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+      s.setSoLinger(true, 0);
+    }
+
+    HttpResult r = result.get(15, TimeUnit.SECONDS);
+    assertEquals(429, assertInstanceOf(HttpResult.Completed.class, r).status());
+  }
 }
