--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/StoreLoadPlanner.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/StoreLoadPlanner.java
@@ -6,7 +6,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -150,10 +150,11 @@
       if (s.engine().isEmpty()) {
         continue;
       }
-      Set<String> copied = modelsWithUsableCopy(s, now);
+      Map<String, Long> copyWaitMs = waitForCopiesMs(s, now);
       for (ModelInfo m : engine(s).models().values()) {
         double perS = replicas.unservedRate(s.name(), m.name(), now);
-        if (perS >= MIN_UNSERVED_PER_S && !copied.contains(m.name())) {
+        boolean copyFirst = copyWaitMs.getOrDefault(m.name(), Long.MAX_VALUE) <= m.storeLoadMs();
+        if (perS >= MIN_UNSERVED_PER_S && !copyFirst) {
           candidates.add(new Candidate(s, m, perS));
         }
       }
@@ -163,20 +164,19 @@
   }
 
   /**
-   * Returns the models that an endpoint can load from its own copy before the weight store could
-   * provide them.
+   * Returns the time until an endpoint with a copy of a model can load it, in ms, by model. A load
+   * from the weight store instead would keep one more endpoint from loading its own copies.
    */
-  private Set<String> modelsWithUsableCopy(ServiceInfo service, long now) {
-    Set<String> names = new HashSet<>();
+  private Map<String, Long> waitForCopiesMs(ServiceInfo service, long now) {
+    Map<String, Long> waitMs = new HashMap<>();
     for (Endpoint e : endpoints.available(service.name())) {
-      boolean loadingFromStore =
-          loads.loadAt(e.id(), now).filter(ActiveLoads.Load::fromStore).isPresent();
-      if (!loadingFromStore && e.unrestricted(now)) {
-        names.addAll(e.entry().inMemory());
-        names.addAll(e.entry().onDisk());
+      if (e.unrestricted(now)) {
+        long ms = loads.loadAt(e.id(), now).map(l -> l.untilMs() - now).orElse(0L);
+        e.entry().inMemory().forEach(m -> waitMs.merge(m, ms, Math::min));
+        e.entry().onDisk().forEach(m -> waitMs.merge(m, ms, Math::min));
       }
     }
-    return names;
+    return waitMs;
   }
 
   private Optional<Assignment> withoutReplicaInDomain(
