Loads: a load that waits for the weight store is no backlog of its endpoint

A model whose demand grew had one replica for 20 s although another endpoint had a copy: requests for models that wait for the weight store counted as 6 s of backlog at each endpoint, and a replica is loaded only at one without. They count once the load is assigned.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderScheduler.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderScheduler.java
@@ -92,7 +92,8 @@
   }
 
   /**
-   * Returns the models that are queued for loading.
+   * Returns the models that are queued for loading; those that must wait for the weight store delay
+   * no other load.
    *
    * @param context inputs to the decision
    * @return load time of each model, in ms
@@ -101,7 +102,8 @@
     Map<String, Integer> queued = new HashMap<>();
     for (String m : requested.models()) {
       boolean known = context.engine().models().containsKey(m);
-      if (known && !holds(m, "") && !load.model().equals(Optional.of(m))) {
+      boolean waiting = known && !holds(m, "") && !load.model().equals(Optional.of(m));
+      if (waiting && context.mayLoad(m)) {
         queued.put(m, (int) context.loadMs(m));
       }
     }
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/TestOrderContext.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/TestOrderContext.java
@@ -10,6 +10,7 @@
 final class TestOrderContext implements OrderContext {
   final Set<String> inProgress = new HashSet<>();
   final Set<String> unneeded = new HashSet<>();
+  final Set<String> heldBack = new HashSet<>();
   final Set<String> urgent = new HashSet<>();
   final Set<String> surplus = new HashSet<>();
   final Map<String, Long> loadMs = new HashMap<>();
@@ -37,7 +38,7 @@
 
   @Override
   public boolean mayLoad(String model) {
-    return true;
+    return !heldBack.contains(model);
   }
 
   @Override
