--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderScheduler.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderScheduler.java
@@ -5,7 +5,6 @@
 import io.kumquatspindle.api.fleet.ModelInfo;
 import io.kumquatspindle.api.fleet.ModelOrder;
 import io.kumquatspindle.api.fleet.OrderResponse;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -99,15 +98,8 @@
    * @return load time of each model, in ms
    */
   public Map<String, Integer> queuedLoads(OrderContext context) {
-    Map<String, Integer> queued = new HashMap<>();
-    for (String m : requested.models()) {
-      boolean known = context.engine().models().containsKey(m);
-      boolean waiting = known && !holds(m, "") && !load.model().equals(Optional.of(m));
-      if (waiting && context.mayLoad(m)) {
-        queued.put(m, (int) context.loadMs(m));
-      }
-    }
-    return queued;
+    return requested.loadMsByModel(
+        context, m -> !holds(m, "") && !load.model().equals(Optional.of(m)));
   }
 
   /** Invalidates the known state of the endpoint, so that the next step reads it again. */
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/RequestedLoads.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/RequestedLoads.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -72,6 +73,18 @@
     return byKey.values().stream().map(Request::model).collect(Collectors.toSet());
   }
 
+  /** Returns the load times, in ms, of the accepted models whose load may start. */
+  Map<String, Integer> loadMsByModel(OrderContext context, Predicate<String> accepted) {
+    Map<String, Integer> loadMs = new HashMap<>();
+    for (String m : models()) {
+      boolean known = context.engine().models().containsKey(m);
+      if (known && accepted.test(m) && context.mayLoad(m)) {
+        loadMs.put(m, (int) context.loadMs(m));
+      }
+    }
+    return loadMs;
+  }
+
   /**
    * Returns all requested loads: first those for models that are already held, then urgent models,
    * then those whose goal can still be met, by earliest goal, and then the others by response
