Tests: resets in the middle of a write, too; one store without topics

resetWhileWritten in four test classes covers an endpoint that reads part of the upload and then resets it, besides one that reads nothing, so that the write waits. FleetGroups and GroupStub share what they do not support. The checks of replicas are named for what they check.

--- a/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/dispatch/UpstreamClientTests.java
+++ b/kumquatspindle-entry/src/test/java/io/kumquatspindle/entry/dispatch/UpstreamClientTests.java
@@ -5,7 +5,6 @@
 
 import io.kumquatspindle.entry.request.IncomingRequest;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -30,6 +29,9 @@
   /** More than the kernel buffers for sending, in bytes. */
   private static final int LONG_BODY_BYTES = 32 * 1024 * 1024;
 
+  /** Part of the body that an endpoint reads which resets the connection during a write. */
+  private static final int READ_BYTES = 8 * 1024 * 1024;
+
   private final UpstreamClient client = new UpstreamClient();
   private ServerSocket endpoint;
 
@@ -58,25 +60,26 @@
             return r.code() + " " + r.body().string();
           } catch (IOException e) {
             return FAILED;
-          } catch (UncheckedIOException e) {
-            return "unexpected " + e;
           }
         });
   }
 
-  private void answerAndReset(String answer) throws IOException {
+  /** Answers before the request has been read to its end, and resets the connection. */
+  private void answerAndReset(String answer, int readBytes) throws IOException {
     try (Socket s = endpoint.accept()) {
       s.getOutputStream().write(answer.getBytes(US_ASCII));
       LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+      s.getInputStream().readNBytes(readBytes);
       s.setSoLinger(true, 0);
     }
   }
 
-  @Test
+  @ParameterizedTest
+  @ValueSource(ints = {0, READ_BYTES})
   @DisplayName("that is answered without a length and reset while it is written has failed")
-  void resetWhileWritten() throws Exception {
+  void resetWhileWritten(int readBytes) throws Exception {
     CompletableFuture<String> result = call(LONG_BODY_BYTES);
-    answerAndReset("HTTP/1.1 200 OK\r\n\r\npart");
+    answerAndReset("HTTP/1.1 200 OK\r\n\r\npart", readBytes);
 
     assertEquals(FAILED, result.get(15, TimeUnit.SECONDS));
   }
@@ -85,7 +88,7 @@
   @DisplayName("that is answered with a length before it is written has a complete answer")
   void answeredEarly() throws Exception {
     CompletableFuture<String> result = call(LONG_BODY_BYTES);
-    answerAndReset("HTTP/1.1 429 X\r\nContent-Length: 2\r\n\r\nno");
+    answerAndReset("HTTP/1.1 429 X\r\nContent-Length: 2\r\n\r\nno", 0);
 
     assertEquals("429 no", result.get(15, TimeUnit.SECONDS));
   }
@@ -95,7 +98,7 @@
   @DisplayName("that is answered with a status that HTTP does not have has failed")
   void invalidStatus(String status) throws Exception {
     CompletableFuture<String> result = call(0);
-    answerAndReset("HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok");
+    answerAndReset("HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok", 0);
 
     assertEquals(FAILED, result.get(15, TimeUnit.SECONDS));
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -188,7 +188,7 @@
         () ->
             quotas.sendDigests(
                 ownership.fencingNumber(), ownership.heldPartitions(), permits.heldLimits()));
-    scheduleDemandChecks();
+    scheduleReplicaChecks();
     every(STORE_LOAD_INTERVAL_MS, "store_loads", orders::assignStoreLoads);
     ActivityLogger activity =
         new ActivityLogger(node.log(), node.metrics(), ProcessMetrics.times());
@@ -202,10 +202,10 @@
   }
 
   /**
-   * Schedules the checks that start loads without a request. Each VM has its own delay after the
+   * Schedules the checks for models that need more replicas. Each VM has its own delay after the
    * common tick, so that the VMs learn of each other's loads before they decide.
    */
-  private void scheduleDemandChecks() {
+  private void scheduleReplicaChecks() {
     long delayMs = ThreadLocalRandom.current().nextLong(PeriodicTasks.TICK_MS);
     Runnable spread = timed("spread", orders::scaleReplicas);
     periodicTasks.every(DEMAND_CHECK_INTERVAL_MS, () -> node.schedule(delayMs, spread));
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/FleetGroups.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/FleetGroups.java
@@ -1,6 +1,5 @@
 package io.kumquatspindle.node.order;
 
-import io.kumquatspindle.node.port.RecordStore;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -10,7 +9,7 @@
 import java.util.function.Consumer;
 
 /** Store with one group per failure domain, whose partitions its members share evenly. */
-final class FleetGroups implements RecordStore {
+final class FleetGroups extends GroupOnlyStore {
   private static final int PARTITIONS = 8;
 
   private final Map<String, List<String>> addressesByDomain;
@@ -51,26 +50,6 @@
     callback.accept(Optional.of(owners(group)));
   }
 
-  @Override
-  public void leave(String group, String member, Runnable callback) {
-    callback.run();
-  }
-
-  @Override
-  public void readLatest(Topic topic, Consumer<ReadResult> callback) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public void read(Topic topic, long from, long waitMs, Consumer<ReadResult> callback) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public void append(Topic topic, String key, byte[] value, Consumer<Boolean> callback) {
-    throw new UnsupportedOperationException();
-  }
-
   @Override
   public int partitionCount() {
     return PARTITIONS;
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/GroupStub.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/GroupStub.java
@@ -1,13 +1,12 @@
 package io.kumquatspindle.node.order;
 
-import io.kumquatspindle.node.port.RecordStore;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 
 /** Store whose responses about groups are set by the test. */
-public final class GroupStub implements RecordStore {
+public final class GroupStub extends GroupOnlyStore {
   private final Map<String, Map<Integer, String>> membersByGroup = new HashMap<>();
   Joined joined;
 
@@ -26,26 +25,6 @@
     answer.accept(Optional.of(new HashMap<>(membersByGroup.get(group))));
   }
 
-  @Override
-  public void readLatest(Topic topic, Consumer<ReadResult> answer) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public void read(Topic topic, long from, long waitMs, Consumer<ReadResult> answer) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public void append(Topic topic, String key, byte[] value, Consumer<Boolean> answer) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public void leave(String group, String member, Runnable done) {
-    done.run();
-  }
-
   @Override
   public int partitionCount() {
     return 2;
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/PooledHttpClientTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/PooledHttpClientTests.java
@@ -119,9 +119,10 @@
     assertInstanceOf(PooledHttpClient.Result.Failed.class, call().get(5, TimeUnit.SECONDS));
   }
 
-  @Test
+  @ParameterizedTest
+  @ValueSource(ints = {0, 8 * 1024 * 1024})
   @DisplayName("does not take a response without framing for complete when the connection is reset")
-  void resetWhileWritten() throws Exception {
+  void resetWhileWritten(int readBytes) throws Exception {
     try (ServerSocket listener = new ServerSocket()) {
       listener.setReceiveBufferSize(65_536);
       listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -131,6 +132,7 @@
         s.getOutputStream()
             .write("HTTP/1.1 200 OK\r\n\r\npart".getBytes(StandardCharsets.US_ASCII));
         LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+        s.getInputStream().readNBytes(readBytes);
         s.setSoLinger(true, 0);
       }
       assertInstanceOf(PooledHttpClient.Result.Failed.class, call.get(5, TimeUnit.SECONDS));
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/UpstreamRequestTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/relay/UpstreamRequestTests.java
@@ -36,6 +36,9 @@
   /** More than the kernel buffers for sending, in bytes. */
   private static final int LONG_BODY_BYTES = 32 * 1024 * 1024;
 
+  /** Part of the body that an endpoint reads which resets the connection during a write. */
+  private static final int READ_BYTES = 8 * 1024 * 1024;
+
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final EventLoop loop = group.next();
   private final EndpointConnections connections =
@@ -166,9 +169,10 @@
   }
 
   /** Guards against part of an answer that reaches its caller as a complete one. */
-  @Test
-  @DisplayName("whose connection is reset while it is written has no complete answer")
-  void resetWhileWritten() throws Exception {
+  @ParameterizedTest
+  @ValueSource(ints = {0, READ_BYTES})
+  @DisplayName("whose connection is reset while it is written, or waits to be, has no whole answer")
+  void resetWhileWritten(int readBytes) throws Exception {
     Recorder listener = new Recorder(true);
     endpoint.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
     loop.execute(() -> send(listener, LONG_BODY_BYTES));
@@ -176,6 +180,7 @@
       s.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\nfirst half".getBytes(US_ASCII));
       assertEquals("sent", listener.next());
       assertEquals("data", listener.next());
+      s.getInputStream().readNBytes(readBytes);
       s.setSoLinger(true, 0);
     }
 
--- a/kumquatspindle-transport/src/test/java/io/kumquatspindle/transport/platform/SingleAttemptHttpClientTests.java
+++ b/kumquatspindle-transport/src/test/java/io/kumquatspindle/transport/platform/SingleAttemptHttpClientTests.java
@@ -30,6 +30,9 @@
   /** More than the kernel buffers for sending, in bytes. */
   private static final int LONG_BODY_BYTES = 32 * 1024 * 1024;
 
+  /** Part of the body that a server reads which resets the connection during a write. */
+  private static final int READ_BYTES = 8 * 1024 * 1024;
+
   private final SingleAttemptHttpClient client =
       SingleAttemptHttpClient.withoutConnectionReuse(HttpMetrics.unregistered());
   private ServerSocket server;
@@ -55,15 +58,22 @@
     return CompletableFuture.supplyAsync(() -> client.call(request, TIMEOUT));
   }
 
-  @Test
-  @DisplayName("that is answered without a length and reset while it is written is incomplete")
-  void resetWhileWritten() throws Exception {
-    CompletableFuture<HttpResult> result = call(LONG_BODY_BYTES);
+  /** Answers before the request has been read to its end, and resets the connection. */
+  private void answerAndReset(String answer, int readBytes) throws IOException {
     try (Socket s = server.accept()) {
-      s.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\npart".getBytes(US_ASCII));
+      s.getOutputStream().write(answer.getBytes(US_ASCII));
       LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+      s.getInputStream().readNBytes(readBytes);
       s.setSoLinger(true, 0);
     }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, READ_BYTES})
+  @DisplayName("that is answered without a length and reset while it is written is incomplete")
+  void resetWhileWritten(int readBytes) throws Exception {
+    CompletableFuture<HttpResult> result = call(LONG_BODY_BYTES);
+    answerAndReset("HTTP/1.1 200 OK\r\n\r\npart", readBytes);
 
     assertInstanceOf(HttpResult.Incomplete.class, result.get(15, TimeUnit.SECONDS));
   }
@@ -84,11 +94,7 @@
   @DisplayName("that is answered with a length before it is written has a complete answer")
   void answeredEarly() throws Exception {
     CompletableFuture<HttpResult> result = call(LONG_BODY_BYTES);
-    try (Socket s = server.accept()) {
-      s.getOutputStream().write("HTTP/1.1 429 X\r\nContent-Length: 2\r\n\r\nno".getBytes(US_ASCII));
-      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
-      s.setSoLinger(true, 0);
-    }
+    answerAndReset("HTTP/1.1 429 X\r\nContent-Length: 2\r\n\r\nno", 0);
 
     HttpResult r = result.get(15, TimeUnit.SECONDS);
     assertEquals(429, assertInstanceOf(HttpResult.Completed.class, r).status());
