--- a/review/second/Runner.java
+++ b/review/second/Runner.java
@@ -38,6 +38,7 @@
   private final AtomicInteger running = new AtomicInteger();
   private final List<Order> orders = new ArrayList<>();
   private final List<Run> arrivals = new ArrayList<>();
+  private final List<Long> deadlyArrivals = new ArrayList<>();
   private int seq;
   private int beats;
   private long highestFence;
@@ -47,6 +48,8 @@
   private volatile int eventCount = 10;
   private volatile long eventGapMs = 40;
   private volatile double lostShare;
+  private volatile String deadlyPart;
+  private volatile Runnable crashListener;
 
   /** An order that has arrived. */
   record Order(long ms, String holder, long fence, String op, String what, int status) {}
@@ -89,6 +92,29 @@
     lostShare = share;
   }
 
+  /** From now on, it crashes as it begins to write an answer on a part of a prompt. */
+  void crashOn(String part, Runnable listener) {
+    crashListener = listener;
+    deadlyPart = part;
+  }
+
+  /** Ends without a word; its entry is removed after three intervals of silence. */
+  private void crash() throws IOException {
+    synchronized (this) {
+      if (!registered) {
+        return;
+      }
+      registered = false;
+    }
+    server.close();
+    Http.daemon(
+        () -> {
+          Store.pause(3 * BEAT_MS);
+          store.write("keyed.servers", id, new byte[0]);
+        });
+    crashListener.run();
+  }
+
   private void beatAll() {
     int era = store.era();
     while (registered) {
@@ -144,6 +170,11 @@
     return List.copyOf(arrivals);
   }
 
+  /** Returns when requests that crash it have arrived. */
+  synchronized List<Long> deadlyArrivals() {
+    return List.copyOf(deadlyArrivals);
+  }
+
   private boolean handle(Http.Message m, Socket connection, OutputStream out) throws IOException {
     Map<String, String> h = new LinkedHashMap<>();
     h.put("X-Kumquatspindle-Instance-Id", id);
@@ -286,6 +317,24 @@
       arrivals.add(new Run(record.nowMs(), requestId));
     }
     record.line("runner " + id + " runs " + requestId + (key == null ? "" : " on " + key));
+    String prefix = m.header("X-Kumquatspindle-Prefix-Hash");
+    if (deadlyPart != null && prefix != null && prefix.contains(deadlyPart + ":")) {
+      synchronized (this) {
+        deadlyArrivals.add(record.nowMs());
+      }
+      Store.pause(eventGapMs);
+      record.line("runner " + id + " begins to write the answer to " + requestId + " and crashes");
+      String head =
+          "HTTP/1.1 200 OK\r\nX-Kumquatspindle-Request-Id: " + requestId
+              + "\r\nX-Kumquatspindle-Runner-Seal: seal." + id
+              + "\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n\r\n";
+      int written = "complete".equals(System.getenv("HEAD")) ? head.length() : 40;
+      out.write(head.substring(0, written).getBytes(StandardCharsets.US_ASCII));
+      out.flush();
+      Store.pause(2);
+      crash();
+      return false;
+    }
     int now = running.incrementAndGet();
     h.put("X-Kumquatspindle-Runner-Seal", "seal." + id + "." + requestId);
     h.put("Keep-Alive", "timeout=10");
--- a/review/second/Site.java
+++ b/review/second/Site.java
@@ -88,6 +88,12 @@
 
   /** Sends a request to a VM, and records it with its answer. */
   Caller.Answer call(Vm vm, String prefix, String model, String method, int deadlineMs) {
+    return call(vm, prefix, model, method, deadlineMs, null);
+  }
+
+  /** Sends a request whose prompt has these shared parts, written as ID:TOKENS. */
+  Caller.Answer call(
+      Vm vm, String prefix, String model, String method, int deadlineMs, String sharedParts) {
     String id = String.format("%016x", ids.incrementAndGet());
     Map<String, String> h = new LinkedHashMap<>();
     h.put("Host", HOST);
@@ -99,6 +105,10 @@
       h.put("X-Kumquatspindle-Token-Count", "200,40");
       h.put("X-Kumquatspindle-Prefix-Hash", "5c1e07a2:100," + id.substring(8) + ":100");
     }
+    if (sharedParts != null) {
+      h.put("X-Kumquatspindle-Token-Count", "300,40");
+      h.put("X-Kumquatspindle-Prefix-Hash", sharedParts + "," + id.substring(8) + ":100");
+    }
     record.line("client sends " + id + " to " + vm.name + (model == null ? "" : " for " + model));
     try {
       Caller.Answer a = Caller.send(vm.callerPort, method, prefix + "x", h, deadlineMs);
