--- a/review/second/Http.java
+++ b/review/second/Http.java
@@ -9,16 +9,22 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** A small HTTP/1.1 server and the parsing of messages, on loopback addresses. */
 final class Http {
   private static final int BACKLOG = 512;
+  private static final int MIN_PORT = 20_000;
+  private static final int MAX_PORT = 32_000;
+  private static final int MAX_PORT_TRIES = 1_000;
+  private static final Set<Integer> TAKEN_PORTS = new HashSet<>();
 
   private Http() {}
 
@@ -207,9 +213,22 @@
     return all;
   }
 
-  static int freePort() throws IOException {
-    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return s.getLocalPort();
+  /** Returns a free port outside the range from which outgoing connections take theirs. */
+  static synchronized int freePort() throws IOException {
+    for (int tries = 0; tries < MAX_PORT_TRIES; tries++) {
+      int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+      if (TAKEN_PORTS.add(port) && isFree(port)) {
+        return port;
+      }
+    }
+    throw new IOException("no free port");
+  }
+
+  private static boolean isFree(int port) {
+    try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+      return s.isBound();
+    } catch (IOException e) {
+      return false;
     }
   }
 
--- a/review/second/Site.java
+++ b/review/second/Site.java
@@ -55,22 +55,35 @@
     return v;
   }
 
-  /** Writes a configuration with one route to each service. */
+  /** Writes a configuration with one tenant. */
   void configure(long version, Map<String, String> routes, List<String> services) {
+    configure(version, routes, services, Map.of("tenant-1", KEY));
+  }
+
+  /** Writes a configuration; each tenant has one key, or none if it is empty. */
+  void configure(
+      long version, Map<String, String> routes, List<String> services, Map<String, String> keys) {
     List<String> list = new ArrayList<>();
     routes.forEach(
         (prefix, fields) ->
             list.add(
                 "{\"name\":\"r" + prefix.replace("/", "") + "\",\"host\":\"" + HOST
                     + "\",\"prefix\":\"" + prefix + "\"," + fields + "}"));
+    List<String> tenants = new ArrayList<>();
+    keys.forEach(
+        (name, key) ->
+            tenants.add(
+                "{\"name\":\"" + name + "\",\"api_keys\":["
+                    + (key.isEmpty() ? "" : "\"" + key + "\"")
+                    + "],\"unit\":\"tokens\",\"plain_tokens\":500,\"rate_per_s\":0,\"burst\":0}"));
     String text =
         "{\"version\":" + version + ",\"routes\":[" + String.join(",", list) + "],\"services\":["
-            + String.join(",", services) + "],\"tenants\":[{\"name\":\"tenant-1\",\"api_keys\":[\""
-            + KEY + "\"],\"unit\":\"tokens\",\"plain_tokens\":500,\"rate_per_s\":0,\"burst\":0}],"
+            + String.join(",", services) + "],\"tenants\":[" + String.join(",", tenants) + "],"
             + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":1048576,"
             + "\"header_timeout_ms\":5000,\"idle_timeout_ms\":15000}}";
-    store.write("keyed.op", "config", text.getBytes(StandardCharsets.UTF_8));
-    record.line("operator writes version " + version);
+    long offset =
+        store.write("keyed.op", "config", text.getBytes(StandardCharsets.UTF_8));
+    record.line("operator writes version " + version + ", offset " + offset);
   }
 
   boolean startAll(long ms) throws IOException {
@@ -120,6 +133,25 @@
     }
   }
 
+  /** Sends a request with a key of its own, and records it with its answer. */
+  Caller.Answer callWithKey(Vm vm, String prefix, String key, int deadlineMs) {
+    String id = String.format("%016x", ids.incrementAndGet());
+    Map<String, String> h = new LinkedHashMap<>();
+    h.put("Host", HOST);
+    h.put("X-Kumquatspindle-Request-Id", id);
+    h.put("X-Kumquatspindle-Deadline-Ms", String.valueOf(deadlineMs));
+    h.put("Authorization", "Bearer " + key);
+    record.line("client sends " + id + " to " + vm.name + " with " + key);
+    try {
+      Caller.Answer a = Caller.get(vm.callerPort, prefix + "x", h, deadlineMs);
+      record.line("client gets " + a.status() + " for " + id + " from " + vm.name);
+      return a;
+    } catch (IOException e) {
+      record.line("client gets no answer for " + id + " from " + vm.name);
+      return new Caller.Answer(0, "", Map.of());
+    }
+  }
+
   /** Ends the processes and this program with its verdict. */
   void end(int verdict, String reason) {
     record.line("verdict " + verdict + ": " + reason);
