--- a/review/second/Runner.java
+++ b/review/second/Runner.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -47,7 +46,6 @@
   private volatile boolean registered = true;
   private volatile int eventCount = 10;
   private volatile long eventGapMs = 40;
-  private volatile double lostShare;
   private volatile String deadlyPart;
   private volatile Runnable crashListener;
 
@@ -87,11 +85,6 @@
     eventGapMs = gapMs;
   }
 
-  /** From now on, it loses the answer of a share of the requests that it has run, by a reset. */
-  void loseAnswers(double share) {
-    lostShare = share;
-  }
-
   /** From now on, it crashes as it begins to write an answer on a part of a prompt. */
   void crashOn(String part, Runnable listener) {
     crashListener = listener;
@@ -195,7 +188,7 @@
         out.write(Http.response(status, h, new byte[0]));
       }
       default -> {
-        return run(m, connection, out, h);
+        return run(m, out, h);
       }
     }
     return true;
@@ -288,8 +281,7 @@
     return 200;
   }
 
-  private boolean run(Http.Message m, Socket connection, OutputStream out, Map<String, String> h)
-      throws IOException {
+  private boolean run(Http.Message m, OutputStream out, Map<String, String> h) throws IOException {
     String requestId = m.header("X-Kumquatspindle-Request-Id");
     h.put("X-Kumquatspindle-Request-Id", requestId);
     h.put("Content-Type", "text/event-stream");
@@ -340,12 +332,6 @@
     h.put("Keep-Alive", "timeout=10");
     h.put("X-Kumquatspindle-Runner-Load", now + ",0," + slots);
     try {
-      if (ThreadLocalRandom.current().nextDouble() < lostShare) {
-        Store.pause(eventGapMs);
-        record.line("runner " + id + " has run " + requestId + ", its answer is lost");
-        Http.reset(connection);
-        return false;
-      }
       stream(out, h);
     } finally {
       running.decrementAndGet();
