Store: one owner of the store's era, named in the log

A store that comes back from an older copy gives out offsets and generations again, and names a higher era in all of its responses.

The lines `records`, `records_forgotten` and `partitions` name the era; `store_era` and `store_era_changes_total` tell of each change.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeContext.java
@@ -14,6 +14,7 @@
 import io.kumquatspindle.engine.fleet.PromptCacheIndex;
 import io.kumquatspindle.engine.fleet.PromptQuarantine;
 import io.kumquatspindle.engine.fleet.RestrictedLoads;
+import io.kumquatspindle.engine.fleet.StoreEra;
 import io.kumquatspindle.engine.fleet.WorkTimes;
 import io.kumquatspindle.node.observe.EventLog;
 import io.kumquatspindle.node.observe.TaskTimer;
@@ -49,6 +50,7 @@
   private final MemoryGrants memoryGrants;
   private final RestrictedLoads restrictedLoads = new RestrictedLoads();
   private final EndpointLimits endpointLimits = new EndpointLimits(new Random()::nextDouble);
+  private final StoreEra storeEra = new StoreEra();
   private final TaskTimer taskTimer;
   private final long startedMs;
   private Optional<FleetConfiguration> configuration = Optional.empty();
@@ -113,6 +115,10 @@
     return taskTimer;
   }
 
+  public StoreEra storeEra() {
+    return storeEra;
+  }
+
   public EndpointTable endpoints() {
     return endpoints;
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -125,6 +125,7 @@
     peerTransport = new TcpPeerTransport(node, this::onPeerMessage);
     peers = new Peers(node, peerTransport);
     quotas = new QuotaEnforcer(node, peers, new SecureRandom().nextLong());
+    node.storeEra().addListener(this::logStoreEra);
     RecordStore store = adapter.store().apply(node);
     ownership = new PartitionOwnership(node, store, peers, quotas, peerTransport.self());
     EngineClient engines = adapter.engines().apply(node);
@@ -162,6 +163,7 @@
     ProcessMetrics.register(node.metrics());
     node.metrics()
         .gauge("prompt_prefixes_known", () -> (Gauge<Integer>) node.promptCacheIndex()::size);
+    node.metrics().gauge("store_era", () -> (Gauge<Long>) node.storeEra()::current);
     front.start();
     peerTransport.start();
     PageServer.start(node, s.readyPort(), this::readiness);
@@ -219,6 +221,11 @@
     periodicTasks.every(DEMAND_CHECK_INTERVAL_MS, () -> node.schedule(delayMs, spread));
   }
 
+  private void logStoreEra(long era, long before) {
+    node.log().line("store_era").field("era", era).field("era_before", before).write();
+    node.metrics().counter("store_era_changes_total").inc();
+  }
+
   private void every(long intervalMs, String taskName, Runnable task) {
     periodicTasks.every(intervalMs, timed(taskName, task));
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/TopicReader.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/TopicReader.java
@@ -261,6 +261,7 @@
     node.log()
         .line("records")
         .field("topic", topic.name())
+        .field("era", node.storeEra().current())
         .field("from", nextOffset.orElse(-1))
         .field("records", r.records().size())
         .field("next", r.next())
@@ -296,7 +297,12 @@
       relay.ifPresent(x -> x.publish(snapshot ? r.next() : from, r, outageMs));
     } else if (result instanceof RecordStore.ReadResult.Deleted) {
       onStoreAvailable();
-      node.log().line("records_forgotten").field("topic", topic.name()).write();
+      node.log()
+          .line("records_forgotten")
+          .field("topic", topic.name())
+          .field("era", node.storeEra().current())
+          .field("from", from)
+          .write();
       nextOffset = OptionalLong.empty();
       delayMs = 0;
     } else if (result instanceof RecordStore.ReadResult.Failed f) {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/PartitionOwnership.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/PartitionOwnership.java
@@ -157,6 +157,7 @@
                 if (joined.generation() != generation) {
                   node.log()
                       .line("partitions")
+                      .field("era", node.storeEra().current())
                       .field("generation", joined.generation())
                       .field("held", joined.partitions().size())
                       .field("held_before", heldBefore)
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/PooledHttpClient.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/relay/PooledHttpClient.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.ArrayDeque;
@@ -51,9 +52,10 @@
      * A complete response.
      *
      * @param status HTTP status
+     * @param headers headers of the response
      * @param body body of the response
      */
-    record Completed(int status, byte[] body) implements Result {}
+    record Completed(int status, HttpHeaders headers, byte[] body) implements Result {}
 
     /**
      * No complete response; the call may have taken effect.
@@ -280,7 +282,10 @@
       }
       channel = null;
       finish(
-          new Result.Completed(response.status().code(), ByteBufUtil.getBytes(response.content())));
+          new Result.Completed(
+              response.status().code(),
+              response.headers(),
+              ByteBufUtil.getBytes(response.content())));
     }
 
     private void fail(String reason) {
