Orders: fencing numbers rise with the era of the store

What callers saw: after the store had come back from an older copy, two VMs ordered the same engine with one fencing number, so that the engine could not tell the orders of the present holder from late ones of the VM before it. Adapters are loaded and evicted against each other then.

Cause: the fencing number was the generation of the group alone. The group goes back with the copy, and gives out its latest generations again, to other holders. OrderLease.renewed also ignored the assignments of the new era until the generation had passed the highest one known, so that VMs went on by their partitions of before.

A generation now has the era of the store, GroupGeneration, by which leases, digests and orders are compared. Its fencing number has the era in the upper bits: it rises as soon as a VM has joined in the new era, without the store's help, and engines accept it at once. A partition that a VM has owned without a gap is kept, any other one waits for the time of a handover. A VM that hears of a new era joins at once, and discards what the group assigned to it before a restart in an earlier era.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderLease.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderLease.java
@@ -17,7 +17,7 @@
   private final Map<Integer, Long> acquiredMs = new HashMap<>();
   private final Set<Integer> fencedPartitions = new HashSet<>();
   private final Set<Integer> retainedPartitions = new HashSet<>();
-  private long generation;
+  private GroupGeneration generation = GroupGeneration.NONE;
   private long renewedMs = Long.MIN_VALUE / 2;
   private long renewedWallMs = Long.MIN_VALUE / 2;
 
@@ -46,8 +46,15 @@
     retainedPartitions.addAll(partitions);
   }
 
+  /** Handles that the assignment since before a restart may no longer be the last one. */
+  public void discardRetained() {
+    retainedPartitions.clear();
+  }
+
   /**
-   * Handles the response to a renewal.
+   * Handles the response to a renewal. In a new era the group may assign a partition to a VM that
+   * did not own it last. A VM that has owned it without a gap keeps it; any other one waits as
+   * after each acquisition.
    *
    * @param sentMs when the renewal was sent, on the monotonic clock in ms
    * @param sentWallMs the same, on the wall clock in ms
@@ -56,13 +63,21 @@
    * @param now current time of the monotonic clock, in ms
    */
   public void renewed(
-      long sentMs, long sentWallMs, long newGeneration, Set<Integer> partitions, long now) {
-    if (newGeneration < generation) {
+      long sentMs,
+      long sentWallMs,
+      GroupGeneration newGeneration,
+      Set<Integer> partitions,
+      long now) {
+    int order = newGeneration.compareTo(generation);
+    if (order < 0) {
       return;
     }
-    if (newGeneration > generation) {
+    if (order > 0) {
       fencedPartitions.clear();
     }
+    if (newGeneration.era() > generation.era() && !ownedUntil(sentMs, sentWallMs, now)) {
+      acquiredMs.clear();
+    }
     generation = newGeneration;
     renewedMs = sentMs;
     renewedWallMs = sentWallMs;
@@ -73,6 +88,16 @@
     retainedPartitions.clear();
   }
 
+  /**
+   * Returns whether no other VM can have sent orders since the last renewal: one that acquired a
+   * partition right after it would still be waiting.
+   */
+  private boolean ownedUntil(long sentMs, long sentWallMs, long now) {
+    long responseMs = now - sentMs;
+    long gapMs = responseMs + Math.max(sentMs - renewedMs, sentWallMs - renewedWallMs);
+    return gapMs < handoverDelayMs;
+  }
+
   /** Releases all partitions, until the next renewal acquires them again. */
   public void releaseAll() {
     acquiredMs.clear();
@@ -118,14 +143,23 @@
   }
 
   /**
-   * Returns the fencing number.
+   * Returns the generation of the last renewal.
    *
-   * @return the fencing number, which is the generation of the group
+   * @return the generation, with its era
    */
-  public long fencingNumber() {
+  public GroupGeneration generation() {
     return generation;
   }
 
+  /**
+   * Returns the fencing number, which identifies the generation of the last renewal.
+   *
+   * @return the fencing number
+   */
+  public long fencingNumber() {
+    return generation.fencingNumber();
+  }
+
   /**
    * Returns the partitions that this VM owns.
    *
@@ -139,11 +173,11 @@
    * Handles the partitions reported by another VM of the group, and releases those that it owns in
    * a later generation.
    *
-   * @param peerGeneration generation of the other VM
+   * @param peerFencingNumber fencing number of the other VM
    * @param partitions partitions that the other VM owns
    */
-  public void releaseHeldByPeer(long peerGeneration, Set<Integer> partitions) {
-    if (peerGeneration > generation) {
+  public void releaseHeldByPeer(long peerFencingNumber, Set<Integer> partitions) {
+    if (peerFencingNumber > fencingNumber()) {
       acquiredMs.keySet().removeAll(partitions);
     }
   }
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/PartitionOwnership.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/order/PartitionOwnership.java
@@ -1,5 +1,6 @@
 package io.kumquatspindle.node.order;
 
+import io.kumquatspindle.engine.fleet.GroupGeneration;
 import io.kumquatspindle.engine.fleet.Hashes;
 import io.kumquatspindle.engine.fleet.OrderLease;
 import io.kumquatspindle.node.NodeContext;
@@ -79,6 +80,7 @@
     // The store may reassign a partition at once; its holder learns that from its next join.
     long handoverDelayMs = node.settings().leaseMs() + JOIN_INTERVAL_MS + TICK_SLACK_MS;
     this.lease = new OrderLease(ttlMs, handoverDelayMs, node.settings().fenced());
+    node.storeEra().addListener((era, before) -> onEraChanged());
     this.lastTickMs = node.now();
     this.lastTickWallClockMs = System.currentTimeMillis();
   }
@@ -108,6 +110,17 @@
     joinWhenDue(now, wallClockMs);
   }
 
+  /**
+   * Joins again without waiting for the next interval, as the group's members and generation are
+   * those of a copy. Until the response arrives, the partitions and the fencing number stay: orders
+   * with it are refused once the next owner has sent one.
+   */
+  private void onEraChanged() {
+    lease.discardRetained();
+    lastJoinMs = Long.MIN_VALUE / 2;
+    answeredDomains.clear();
+  }
+
   private void joinWhenDue(long now, long wallClockMs) {
     if (now - lastJoinMs >= JOIN_INTERVAL_MS) {
       join(now, wallClockMs);
@@ -142,11 +155,12 @@
     joinPending = true;
     lastJoinMs = now;
     int heldBefore = lease.size();
-    long generation = lease.fencingNumber();
+    GroupGeneration generation = lease.generation();
+    boolean ofThisEra = generation.era() == node.storeEra().current();
     store.join(
         groupName(node.settings().domain()),
         member,
-        generation,
+        ofThisEra ? generation.number() : 0,
         ttlMs,
         response -> {
           joinPending = false;
@@ -154,11 +168,11 @@
               joined -> {
                 lease.renewed(
                     now, wallClockMs, joined.generation(), joined.partitions(), node.now());
-                if (joined.generation() != generation) {
+                if (!joined.generation().equals(generation)) {
                   node.log()
                       .line("partitions")
-                      .field("era", node.storeEra().current())
-                      .field("generation", joined.generation())
+                      .field("era", joined.generation().era())
+                      .field("generation", joined.generation().number())
                       .field("held", joined.partitions().size())
                       .field("held_before", heldBefore)
                       .write();
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/port/RecordStore.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/port/RecordStore.java
@@ -1,5 +1,6 @@
 package io.kumquatspindle.node.port;
 
+import io.kumquatspindle.engine.fleet.GroupGeneration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -71,10 +72,10 @@
   /**
    * Result of a join.
    *
-   * @param generation generation of the group
+   * @param generation generation of the group, with the era of the store
    * @param partitions partitions assigned to this member
    */
-  record Joined(long generation, Set<Integer> partitions) {}
+  record Joined(GroupGeneration generation, Set<Integer> partitions) {}
 
   /**
    * Reads the latest record of each key.
@@ -109,7 +110,7 @@
    *
    * @param group name of the group
    * @param member encoded identity of this member
-   * @param generation generation received last, or 0 at first
+   * @param generation generation received last in the current era of the store, or 0 at first
    * @param ttlMs time without a renewal after which the membership expires, in ms
    * @param callback receives the assignment, or empty if there was no response
    */
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/FleetGroups.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/FleetGroups.java
@@ -36,7 +36,7 @@
       Consumer<Optional<Joined>> callback) {
     Set<Integer> assigned = new HashSet<>();
     owners(group).forEach((p, owner) -> addIfEqual(assigned, p, owner, member));
-    callback.accept(Optional.of(new Joined(1, assigned)));
+    callback.accept(Optional.of(GroupStub.joined(1, assigned)));
   }
 
   private static void addIfEqual(Set<Integer> to, int partition, String owner, String member) {
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/GroupStub.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/GroupStub.java
@@ -1,8 +1,10 @@
 package io.kumquatspindle.node.order;
 
+import io.kumquatspindle.engine.fleet.GroupGeneration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /** Store whose responses about groups are set by the test. */
@@ -10,6 +12,16 @@
   private final Map<String, Map<Integer, String>> membersByGroup = new HashMap<>();
   Joined joined;
 
+  /** Returns the response to a join in the first era of the store. */
+  public static Joined joined(long generation, Set<Integer> partitions) {
+    return joined(1, generation, partitions);
+  }
+
+  /** Returns the response to a join. */
+  static Joined joined(long era, long generation, Set<Integer> partitions) {
+    return new Joined(new GroupGeneration(era, generation), partitions);
+  }
+
   public void setMembers(String group, Map<Integer, String> members) {
     membersByGroup.put(group, members);
   }
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/PartitionOwnershipTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/order/PartitionOwnershipTests.java
@@ -10,7 +10,6 @@
 import io.kumquatspindle.node.peer.Peers;
 import io.kumquatspindle.node.peer.QuotaEnforcer;
 import io.kumquatspindle.node.peer.TcpPeerTransport;
-import io.kumquatspindle.node.port.RecordStore;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -24,6 +23,9 @@
   private static final String FIRST = "10.0.0.2:7600";
   private static final String JOINED_TOGETHER = "10.1.0.1:7600";
 
+  /** Time after a return of the store within which partitions have a VM that orders, in ms. */
+  private static final long MAX_WITHOUT_ORDERS_MS = 5_500;
+
   private final AtomicLong now = new AtomicLong(1_000);
   private final NodeContext node = TestNodes.of(now, "west", "east");
   private final Peers peers = new Peers(node, new TcpPeerTransport(node, m -> {}));
@@ -38,12 +40,12 @@
     // The store's response before it has rebalanced: the first member holds all partitions.
     groups.setMembers("orders-west", Map.of(0, FIRST + "|vm-2", 1, FIRST + "|vm-2"));
     groups.setMembers("orders-east", Map.of(0, "10.1.0.2:7600|vm-4", 1, "10.1.0.2:7600|vm-4"));
-    groups.joined = new RecordStore.Joined(1, Set.of());
+    groups.joined = GroupStub.joined(1, Set.of());
     ownership.tick();
 
     groups.setMembers("orders-west", Map.of(0, FIRST + "|vm-2", 1, TestNodes.SELF + "|vm"));
     groups.setMembers("orders-east", Map.of(0, "10.1.0.2:7600|vm-4", 1, JOINED_TOGETHER + "|vm-3"));
-    groups.joined = new RecordStore.Joined(2, Set.of(1));
+    groups.joined = GroupStub.joined(2, Set.of(1));
     now.addAndGet(1_000);
     ownership.tick();
 
@@ -55,7 +57,7 @@
   void restarted() {
     groups.setMembers("orders-west", Map.of(0, TestNodes.SELF + "|vm", 1, FIRST + "|vm-2"));
     groups.setMembers("orders-east", Map.of());
-    groups.joined = new RecordStore.Joined(4, Set.of(0));
+    groups.joined = GroupStub.joined(4, Set.of(0));
     ownership.tick();
 
     assertEquals(Set.of(0), ownership.heldPartitions());
@@ -67,7 +69,7 @@
   void startedAfterOther() {
     groups.setMembers("orders-west", Map.of(0, FIRST + "|vm-2", 1, FIRST + "|vm-2"));
     groups.setMembers("orders-east", Map.of());
-    groups.joined = new RecordStore.Joined(4, Set.of(0, 1));
+    groups.joined = GroupStub.joined(4, Set.of(0, 1));
     ownership.tick();
     now.addAndGet(2_900);
     assertFalse(ownership.mayOrder(endpointIn(0)));
@@ -84,7 +86,7 @@
     groups.setMembers("orders-east", Map.of());
     PartitionOwnership other =
         new PartitionOwnership(node, groups, peers, new QuotaEnforcer(node, peers, 2), FIRST);
-    groups.joined = new RecordStore.Joined(4, Set.of(0));
+    groups.joined = GroupStub.joined(4, Set.of(0));
     other.tick();
     now.addAndGet(10_000);
     other.tick();
@@ -93,9 +95,9 @@
     long lastOrderMs = 0;
     long firstOrderMs = 0;
     for (; firstOrderMs == 0 && now.get() < reassignedMs + 20_000; now.addAndGet(100)) {
-      groups.joined = new RecordStore.Joined(5, Set.of(0));
+      groups.joined = GroupStub.joined(5, Set.of(0));
       ownership.tick();
-      groups.joined = new RecordStore.Joined(5, Set.of());
+      groups.joined = GroupStub.joined(5, Set.of());
       other.tick();
       lastOrderMs = other.mayOrder(endpointIn(0)) ? now.get() : lastOrderMs;
       firstOrderMs = ownership.mayOrder(endpointIn(0)) ? now.get() : 0;
@@ -105,6 +107,65 @@
     assertTrue(firstOrderMs - lastOrderMs >= node.settings().leaseMs(), firstOrderMs + " first");
   }
 
+  /**
+   * Guards against two VMs that order one endpoint with one fencing number, after the store has
+   * come back from an older copy and has given out a generation again.
+   */
+  @Test
+  @DisplayName("gives each fencing number to one VM when the store gives out a generation again")
+  void generationGivenOutAgain() {
+    groups.setMembers("orders-west", Map.of(0, FIRST + "|vm-2", 1, FIRST + "|vm-2"));
+    groups.setMembers("orders-east", Map.of());
+    PartitionOwnership other =
+        new PartitionOwnership(node, groups, peers, new QuotaEnforcer(node, peers, 2), FIRST);
+    node.storeEra().observe(1);
+    groups.joined = GroupStub.joined(1, 5, Set.of(0));
+    other.tick();
+    now.addAndGet(10_000);
+    other.tick();
+    assertTrue(other.mayOrder(endpointIn(0)));
+    long numberBefore = other.fencingNumber();
+
+    node.storeEra().observe(2);
+    long restoredMs = now.get();
+    long lastOrderMs = 0;
+    long firstOrderMs = 0;
+    for (; firstOrderMs == 0 && now.get() < restoredMs + 20_000; now.addAndGet(100)) {
+      groups.joined = GroupStub.joined(2, 5, Set.of(0));
+      ownership.tick();
+      groups.joined = GroupStub.joined(2, 5, Set.of());
+      other.tick();
+      lastOrderMs = other.mayOrder(endpointIn(0)) ? now.get() : lastOrderMs;
+      firstOrderMs = ownership.mayOrder(endpointIn(0)) ? now.get() : 0;
+    }
+
+    assertTrue(ownership.fencingNumber() > numberBefore, ownership.fencingNumber() + " again");
+    assertTrue(firstOrderMs - lastOrderMs >= node.settings().leaseMs(), firstOrderMs + " first");
+    assertTrue(firstOrderMs - restoredMs <= MAX_WITHOUT_ORDERS_MS, firstOrderMs + " first");
+  }
+
+  @Test
+  @DisplayName("lets a VM go on at once that the store assigns its partitions in a new era")
+  void keptInNewEra() {
+    groups.setMembers("orders-west", Map.of(0, FIRST + "|vm-2", 1, FIRST + "|vm-2"));
+    groups.setMembers("orders-east", Map.of());
+    node.storeEra().observe(1);
+    groups.joined = GroupStub.joined(1, 5, Set.of(0));
+    for (int i = 0; i < 10; i++) {
+      ownership.tick();
+      now.addAndGet(1_000);
+    }
+    assertTrue(ownership.mayOrder(endpointIn(0)));
+
+    node.storeEra().observe(2);
+    groups.joined = GroupStub.joined(2, 3, Set.of(0));
+    ownership.tick();
+
+    assertTrue(ownership.mayOrder(endpointIn(0)));
+    assertTrue(
+        ownership.fencingNumber() > GroupStub.joined(1, 5, Set.of()).generation().fencingNumber());
+  }
+
   /** Returns the identity of an endpoint in a partition. */
   private String endpointIn(int partition) {
     return IntStream.range(0, 100)
@@ -120,7 +181,7 @@
     groups.setMembers("orders-west", Map.of(0, FIRST + "|vm-2", 1, FIRST + "|vm-2"));
     groups.setMembers(
         "orders-east", Map.of(0, JOINED_TOGETHER + "|vm-3", 1, JOINED_TOGETHER + "|vm-3"));
-    groups.joined = new RecordStore.Joined(1, Set.of());
+    groups.joined = GroupStub.joined(1, Set.of());
     ownership.tick();
     assertEquals(Optional.of(JOINED_TOGETHER), ownership.holder("e", "east"));
 
