Readers: offsets of an earlier era of the store are not compared with new ones

What callers saw: after the store had come back from an older copy, one or two of three VMs went on serving requests with a key that an accepted version of the configuration had withdrawn, from 2.2 s after the acknowledgement until the topic had grown beyond its former end.

A VM that the store turns away still applies the records that others have read.

--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/FleetStateUpdater.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/FleetStateUpdater.java
@@ -43,8 +43,8 @@
    *
    * @return the listener
    */
-  public TopicReader.Listener configurationRecordListener() {
-    return new TopicReader.Listener() {
+  public TopicListener configurationRecordListener() {
+    return new TopicListener() {
       @Override
       public void onSnapshot(List<RecordStore.KeyedRecord> records) {
         apply(node.endpoints().replaceEvacuations(evacuatedDomains(records)));
@@ -146,8 +146,8 @@
    *
    * @return the listener
    */
-  public TopicReader.Listener endpointRecordListener() {
-    return new TopicReader.Listener() {
+  public TopicListener endpointRecordListener() {
+    return new TopicListener() {
       @Override
       public void onSnapshot(List<RecordStore.KeyedRecord> records) {
         Set<String> ids = new HashSet<>();
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/TopicReader.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/TopicReader.java
@@ -7,11 +7,13 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * Reads one topic of the store: first a snapshot of the newest record of each key, then records as
- * they are written. Starts again with a snapshot if records were deleted before they were read. In
- * a topic in which each record replaces the one before it, records that were missed are skipped.
+ * they are written. Starts again with a snapshot if records were deleted before they were read, and
+ * in each new era of the store, in which the offsets known so far belong to other records. In a
+ * topic in which each record replaces the one before it, records that were missed are skipped.
  *
  * <p>With a relay, a VM that hears the updates of another one sends no reads of its own.
  */
@@ -25,10 +27,16 @@
    */
   private static final long MAX_RETRY_DELAY_MS = 900;
 
+  /**
+   * Time over which the VMs spread their snapshots in a new era, in ms; a quarter of the time in
+   * which a configuration must come into force, so that a failed read can be repeated.
+   */
+  private static final long NEW_ERA_SPREAD_MS = 500;
+
   private final NodeContext node;
   private final RecordStore store;
   private final RecordStore.Topic topic;
-  private final Listener listener;
+  private final TopicListener listener;
   private final long waitMs;
   private final long readDelayMs;
   private Optional<TopicRelay> relay = Optional.empty();
@@ -42,35 +50,11 @@
   private boolean readPending;
   private long readSentMs;
   private long currentReadId;
+  private long currentImmediateReadId;
   private long nextImmediateReadMs = Long.MIN_VALUE / 2;
   private boolean immediateReadPending;
-
-  /** Receives the records that are read. All calls are made on the event loop. */
-  public interface Listener {
-    /**
-     * Handles a snapshot of the topic.
-     *
-     * @param records the newest record of each key
-     */
-    void onSnapshot(List<RecordStore.KeyedRecord> records);
-
-    /**
-     * Handles a record that was written after the snapshot.
-     *
-     * @param record the record
-     */
-    void onRecord(RecordStore.KeyedRecord record);
-
-    /** Handles a response of the store that confirms that the records read so far are complete. */
-    void onConfirmed();
-
-    /**
-     * Handles the first response of the store after failed reads.
-     *
-     * @param outageMs time since the first failed read, in ms
-     */
-    void onRecovered(long outageMs);
-  }
+  private boolean snapshotDelivered;
+  private boolean restored;
 
   /**
    * Creates a reader; {@link #read} starts it.
@@ -88,13 +72,25 @@
       RecordStore.Topic topic,
       long waitMs,
       long readDelayMs,
-      Listener listener) {
+      TopicListener listener) {
     this.node = node;
     this.store = store;
     this.topic = topic;
     this.waitMs = waitMs;
     this.readDelayMs = readDelayMs;
     this.listener = listener;
+    node.storeEra().addListener((era, before) -> onEraChanged());
+  }
+
+  /** Ignores the responses to the reads of the previous era, and reads a snapshot. */
+  private void onEraChanged() {
+    currentReadId++;
+    currentImmediateReadId++;
+    readPending = false;
+    immediateReadPending = false;
+    nextOffset = OptionalLong.empty();
+    restored = snapshotDelivered;
+    scheduleRead(ThreadLocalRandom.current().nextLong(NEW_ERA_SPREAD_MS));
   }
 
   /**
@@ -150,15 +146,21 @@
 
   /**
    * Handles what another VM has read of the topic. A VM whose own reads fail uses it as well: the
-   * store may turn away some VMs and serve the others.
+   * store may turn away some VMs and serve the others. An update of a new era makes this VM read a
+   * snapshot, and one of an earlier era is ignored.
    *
    * @param update the update
    */
   public void onUpdate(NodeMessage.TopicUpdate update) {
-    if (relay.isEmpty() || nextOffset.isEmpty()) {
+    if (relay.isEmpty() || !node.storeEra().observe(update.era())) {
       return;
     }
-    runTimed(() -> adopt(update));
+    if (nextOffset.isPresent()) {
+      runTimed(() -> adopt(update));
+    } else if (snapshotDelivered) {
+      // Records of the new era are valid without the snapshot, which this VM may be unable to read.
+      runTimed(() -> deliver(() -> update.records().forEach(listener::onRecord)));
+    }
   }
 
   private void adopt(NodeMessage.TopicUpdate update) {
@@ -192,9 +194,9 @@
       }
       int known = (int) (next - from);
       nextOffset = OptionalLong.of(r.next());
-      deliver(r.records().subList(known, r.records().size()), false);
+      deliver(() -> r.records().subList(known, r.records().size()).forEach(listener::onRecord));
     } else if (r.end() <= next) {
-      deliver(List.of(), false);
+      deliver(() -> {});
     }
     return r.end() <= nextOffset.orElse(0);
   }
@@ -213,15 +215,20 @@
       return;
     }
     immediateReadPending = true;
+    long id = ++currentImmediateReadId;
     if (topic.newestReplacesOthers()) {
-      store.readLatest(topic, a -> runTimed(() -> onImmediateResponse(0, a, true)));
+      store.readLatest(topic, a -> runTimed(() -> onImmediateResponse(id, 0, a, true)));
     } else {
       long from = nextOffset.getAsLong();
-      store.read(topic, from, 0, a -> runTimed(() -> onImmediateResponse(from, a, false)));
+      store.read(topic, from, 0, a -> runTimed(() -> onImmediateResponse(id, from, a, false)));
     }
   }
 
-  private void onImmediateResponse(long from, RecordStore.ReadResult result, boolean snapshot) {
+  private void onImmediateResponse(
+      long id, long from, RecordStore.ReadResult result, boolean snapshot) {
+    if (id != currentImmediateReadId) {
+      return;
+    }
     immediateReadPending = false;
     boolean failed = result instanceof RecordStore.ReadResult.Failed;
     nextImmediateReadMs = node.now() + (failed ? MAX_RETRY_DELAY_MS : MIN_RETRY_DELAY_MS);
@@ -289,7 +296,7 @@
       logRecords(r);
       if (snapshot) {
         nextOffset = OptionalLong.of(r.next());
-        deliver(r.records(), true);
+        deliverSnapshot(r.records());
         delayMs = 0;
       } else {
         deliverFrom(from, r);
@@ -321,14 +328,24 @@
     scheduleRead(delayMs);
   }
 
+  private void deliverSnapshot(List<RecordStore.KeyedRecord> records) {
+    boolean older = restored;
+    restored = false;
+    snapshotDelivered = true;
+    deliver(
+        () -> {
+          if (older) {
+            listener.onRestoredSnapshot(records);
+          } else {
+            listener.onSnapshot(records);
+          }
+        });
+  }
+
   /** Delivers records. A failure to handle them is logged, so that it does not end the reading. */
-  private void deliver(List<RecordStore.KeyedRecord> records, boolean snapshot) {
+  private void deliver(Runnable delivery) {
     try {
-      if (snapshot) {
-        listener.onSnapshot(records);
-      } else {
-        records.forEach(listener::onRecord);
-      }
+      delivery.run();
       listener.onConfirmed();
     } catch (RuntimeException e) {
       node.log().internalError(e);
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/TopicRelay.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/TopicRelay.java
@@ -86,6 +86,7 @@
         new NodeMessage.TopicUpdate(
             transport.self(),
             topic,
+            node.storeEra().current(),
             complete ? from : result.next(),
             result.next(),
             Math.max(result.end(), result.next()),
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/NodeMessage.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/NodeMessage.java
@@ -157,6 +157,7 @@
    *
    * @param reader the sender's peer address
    * @param topic the topic
+   * @param era era of the store to which the offsets belong; 0 if it is not known
    * @param from offset of the first record
    * @param next offset after the last record; the same as {@code from} if the records are not sent
    * @param end end offset of the topic when the store answered
@@ -166,6 +167,7 @@
   record TopicUpdate(
       String reader,
       RecordStore.Topic topic,
+      long era,
       long from,
       long next,
       long end,
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerCodec.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/peer/PeerCodec.java
@@ -166,6 +166,7 @@
         p.packBinaryHeader(r.value().get().length).writePayload(r.value().get());
       }
     }
+    p.packLong(t.era());
   }
 
   private static NodeMessage.TopicUpdate unpackTopicUpdate(MessageUnpacker u) throws IOException {
@@ -182,7 +183,9 @@
           u.tryUnpackNil() ? Optional.empty() : Optional.of(u.readPayload(u.unpackBinaryHeader()));
       records.add(new RecordStore.KeyedRecord(key, value));
     }
-    return new NodeMessage.TopicUpdate(reader, topic, from, next, end, outageMs, records);
+    // VMs of an earlier version do not send the era, and their offsets cannot be used.
+    long era = u.hasNext() ? u.unpackLong() : 0;
+    return new NodeMessage.TopicUpdate(reader, topic, era, from, next, end, outageMs, records);
   }
 
   private static Map<String, Long> unpackTokens(MessageUnpacker u) throws IOException {
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/follow/FakeTopicStore.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/follow/FakeTopicStore.java
@@ -25,6 +25,7 @@
   private int recordsRead;
   private boolean unresponsive;
   private boolean failing;
+  private Runnable beforeResponse = () -> {};
 
   FakeTopicStore(EventLoop loop) {
     this(loop, new ArrayList<>());
@@ -53,6 +54,11 @@
     records.add(new KeyedRecord("k", Optional.of(value.getBytes(StandardCharsets.UTF_8))));
   }
 
+  /** Loses the newest records, as when the store comes back from an older copy. */
+  void loseNewest(int count) {
+    records.subList(records.size() - count, records.size()).clear();
+  }
+
   /** Deletes all records, except the newest of each key for reads of these. */
   void deleteHistory() {
     deletedBefore = records.size();
@@ -63,6 +69,11 @@
     records.add(new KeyedRecord(key, value));
   }
 
+  /** Sets what happens before each response is handled, as when it names a new era. */
+  void beforeResponse(Runnable action) {
+    beforeResponse = action;
+  }
+
   /** Stops answering reads. */
   void stopAnswering() {
     unresponsive = true;
@@ -103,8 +114,12 @@
   @Override
   public void read(Topic topic, long from, long waitMs, Consumer<ReadResult> callback) {
     waits.add(waitMs);
-    if (from < deletedBefore) {
-      loop.execute(() -> callback.accept(new ReadResult.Deleted()));
+    if (!failing && (from < deletedBefore || from > records.size())) {
+      loop.execute(
+          () -> {
+            beforeResponse.run();
+            callback.accept(new ReadResult.Deleted());
+          });
     } else if (records.size() > from || waitMs == 0 || failing) {
       loop.execute(() -> respond(callback, from(from)));
     } else {
@@ -113,13 +128,15 @@
   }
 
   private List<KeyedRecord> from(long offset) {
-    return List.copyOf(records.subList((int) offset, records.size()));
+    int end = records.size();
+    return List.copyOf(records.subList(Math.min((int) offset, end), end));
   }
 
   private void respond(Consumer<ReadResult> callback, List<KeyedRecord> rest) {
     if (failing) {
       callback.accept(new ReadResult.Failed("turned away"));
     } else if (!unresponsive) {
+      beforeResponse.run();
       recordsRead += rest.size();
       callback.accept(new ReadResult.Records(rest, records.size(), records.size()));
     }
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/follow/MissedWakeUpTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/follow/MissedWakeUpTests.java
@@ -124,7 +124,7 @@
   }
 
   /** Records the values that were read, in order. */
-  private record RecordingListener(List<String> seen) implements TopicReader.Listener {
+  private record RecordingListener(List<String> seen) implements TopicListener {
     @Override
     public void onSnapshot(List<RecordStore.KeyedRecord> records) {
       records.forEach(this::onRecord);
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/follow/SharedReadsTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/follow/SharedReadsTests.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -37,8 +38,9 @@
   private final ManualLoop time = new ManualLoop();
   private final List<RecordStore.KeyedRecord> records = new ArrayList<>();
   private final Map<String, Vm> vms = new HashMap<>();
+  private long era = 1;
 
-  private final class Vm implements PeerTransport, TopicReader.Listener {
+  private final class Vm implements PeerTransport, TopicListener {
     private final String address;
     private final FakeTopicStore store = new FakeTopicStore(time.loop(), records);
     private final List<String> received = new ArrayList<>();
@@ -50,6 +52,7 @@
     private Vm(String address, RecordStore.Topic topic) {
       this.address = address;
       NodeContext node = time.node();
+      store.beforeResponse(() -> node.storeEra().observe(era));
       reader = new TopicReader(node, store, topic, 0, READ_DELAY_MS, this);
       reader.shareReads(new TopicRelay(node, topic, SILENCE_MS, this, () -> others(address)), 0);
     }
@@ -232,6 +235,111 @@
     others.forEach(vm -> assertTrue(vm.received.contains("evacuation"), vm.address));
   }
 
+  /**
+   * Guards against records that VMs miss when the store has come back from an older copy, since
+   * their offsets were known from records that the store has lost.
+   */
+  @Nested
+  @DisplayName("when the store has come back from an older copy")
+  class RestoredStore {
+    private static final int LOST = 3;
+
+    private void restore() {
+      era++;
+      records.subList(records.size() - LOST, records.size()).clear();
+    }
+
+    private void startAndLoseRecords(RecordStore.Topic topic) {
+      start(topic);
+      for (int i = 0; i < LOST; i++) {
+        write("lost" + i);
+      }
+      time.advance(DRAIN_MS);
+      vms.values().forEach(vm -> assertTrue(vm.received.contains("lost2"), vm.address));
+      restore();
+    }
+
+    private void assertAllHave(String key) {
+      vms.values().forEach(vm -> assertTrue(vm.received.contains(key), vm.address + " " + key));
+    }
+
+    @Test
+    @DisplayName("receive records with offsets that they have read before")
+    void offsetsGivenOutAgain() {
+      startAndLoseRecords(RecordStore.Topic.ENDPOINTS);
+      write("new0");
+      time.advance(DRAIN_MS);
+
+      assertAllHave("new0");
+    }
+
+    @Test
+    @DisplayName("receive them if the new records have passed the offsets before the next read")
+    void offsetsPassed() {
+      startAndLoseRecords(RecordStore.Topic.ENDPOINTS);
+      for (int i = 0; i <= LOST; i++) {
+        write("new" + i);
+      }
+      time.advance(DRAIN_MS);
+
+      for (int i = 0; i <= LOST; i++) {
+        assertAllHave("new" + i);
+      }
+    }
+
+    @Test
+    @DisplayName("receive a new configuration although the topic has fewer records than before")
+    void configuration() {
+      startAndLoseRecords(RecordStore.Topic.CONFIGURATION);
+      write("new0");
+      time.advance(DRAIN_MS);
+
+      assertAllHave("new0");
+    }
+
+    @Test
+    @DisplayName("receive the records of the others while the store turns them away")
+    void turnedAway() {
+      startAndLoseRecords(RecordStore.Topic.ENDPOINTS);
+      Vm reader = reader();
+      vms.values().stream().filter(vm -> vm != reader).forEach(vm -> vm.store.setFailing(true));
+      time.advance(DRAIN_MS);
+      write("new0");
+      time.advance(DRAIN_MS);
+
+      assertAllHave("new0");
+    }
+
+    @Test
+    @DisplayName("ignore updates of the previous era that arrive late")
+    void lateUpdate() {
+      startAndLoseRecords(RecordStore.Topic.ENDPOINTS);
+      time.advance(DRAIN_MS);
+      RecordStore.KeyedRecord late = new RecordStore.KeyedRecord("late", Optional.empty());
+      Vm vm = vms.values().iterator().next();
+      vm.reader.onUpdate(
+          new NodeMessage.TopicUpdate(
+              "10.0.0.9:7600", RecordStore.Topic.ENDPOINTS, 1, 1, 2, 2, 0, List.of(late)));
+      time.advance(DRAIN_MS);
+
+      assertTrue(!vm.received.contains("late"));
+    }
+
+    @Test
+    @DisplayName("read one snapshot each, and then share their reads again")
+    void snapshots() {
+      startAndLoseRecords(RecordStore.Topic.ENDPOINTS);
+      int before = vms.values().stream().mapToInt(vm -> vm.store.newestReads()).sum();
+      time.advance(DRAIN_MS);
+      int snapshots = vms.values().stream().mapToInt(vm -> vm.store.newestReads()).sum() - before;
+      assertEquals(VMS, snapshots);
+
+      int readsBefore = reads();
+      time.advance(10 * READ_DELAY_MS);
+      assertTrue(reads() - readsBefore <= 12, reads() - readsBefore + " reads afterwards");
+    }
+  }
+
   @Test
   @DisplayName("read a new configuration themselves, once each")
   void configuration() {
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeerCodecTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/peer/PeerCodecTests.java
@@ -117,6 +117,7 @@
         new NodeMessage.TopicUpdate(
             "10.0.0.1:7600",
             RecordStore.Topic.ENDPOINTS,
+            3,
             7,
             9,
             9,
