Endpoints: a restored store brings none back and takes none away

An endpoint that had come since the copy got none, and its callers were refused, until it wrote its entry again.

An endpoint that has gone or is leaving stays so until it writes its entry again or has restarted, and what a known one holds is not replaced by an earlier list. One that is missing is kept for the grace period of lapsed entries, plus the time in which this VM reads them. Evacuations that the copy does not know stay in force until they are written again or the same time has passed.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EndpointTable.java
@@ -16,7 +16,7 @@
    * Time after a recovery of the store within which expired entries reappear, as specified by the
    * platform.
    */
-  static final long STORE_RECOVERY_GRACE_MS = 2_000;
+  public static final long STORE_RECOVERY_GRACE_MS = 2_000;
 
   /** Maximum number of removed endpoints that are remembered; a fleet has about 600. */
   private static final int MAX_REMOVED = 1_024;
@@ -54,6 +54,32 @@
     updated.coldPeriod().stated(entry.coldLeftMs(), now);
   }
 
+  /**
+   * Adopts an entry of a store that has come back from an older copy, unless it may be older than
+   * what is known: an endpoint that has gone or is leaving stays so, and what a known one holds is
+   * not replaced. Each endpoint writes its entry again, which {@link #put} then handles.
+   *
+   * @param entry the entry
+   * @param now current time, in ms
+   * @return whether the entry was adopted
+   */
+  public boolean putRestored(EndpointEntry entry, long now) {
+    Endpoint known = byId.getOrDefault(entry.id(), removed.get(entry.id()));
+    boolean adopted = known == null || isNews(entry, known.entry());
+    if (adopted) {
+      put(entry, now);
+    }
+    return adopted;
+  }
+
+  /** Returns whether an entry was certainly written later than another one of the same endpoint. */
+  private static boolean isNews(EndpointEntry entry, EndpointEntry known) {
+    boolean sameStart = entry.startedAtMs() == known.startedAtMs();
+    return sameStart
+        ? entry.leaving() && !known.leaving()
+        : entry.startedAtMs() > known.startedAtMs();
+  }
+
   /**
    * Sets how many requests the endpoints of each service handle while they are cold.
    *
@@ -144,10 +170,11 @@
   /**
    * Records that the store is available again after an outage.
    *
-   * @param now current time, in ms
+   * @param atMs start of the time in which entries reappear, in ms; an earlier one than known is
+   *     ignored
    */
-  public void storeRecovered(long now) {
-    storeRecoveredMs = now;
+  public void storeRecovered(long atMs) {
+    storeRecoveredMs = Math.max(storeRecoveredMs, atMs);
   }
 
   /**
@@ -239,6 +266,15 @@
     return applied(evacuated.update(domain, exists));
   }
 
+  /**
+   * Returns the failure domains that are evacuated.
+   *
+   * @return their names
+   */
+  public Set<String> evacuations() {
+    return evacuated.domains();
+  }
+
   /**
    * Records all failure domains that are evacuated.
    *
--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EvacuatedDomains.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/EvacuatedDomains.java
@@ -51,6 +51,10 @@
     return changes;
   }
 
+  Set<String> domains() {
+    return Set.copyOf(domains);
+  }
+
   boolean contains(String domain) {
     return domains.contains(domain);
   }
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/EndpointTableTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/EndpointTableTests.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.kumquatspindle.api.fleet.EndpointEntry;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
@@ -70,6 +71,73 @@
     assertEquals(List.of(), table.available(TestEndpoints.SERVICE));
   }
 
+  /**
+   * Guards against requests to an endpoint that has gone or is leaving, after the store has come
+   * back from a copy in which its entry is an earlier one.
+   */
+  @Test
+  @DisplayName("keeps to what is known when the store lists earlier entries again")
+  void restoredEntries() {
+    EndpointEntry ready = TestEndpoints.endpoint("e1", "west", "a");
+    EndpointEntry gone = TestEndpoints.endpoint("e2", "west", "a");
+    EndpointEntry leaving = leaving(TestEndpoints.endpoint("e3", "west", "a"));
+    table.put(ready, 0);
+    table.put(gone, 0);
+    table.remove("e2", 0);
+    table.put(leaving, 0);
+
+    assertFalse(table.putRestored(TestEndpoints.endpoint("e1", "west"), 10));
+    assertFalse(table.putRestored(gone, 10));
+    assertFalse(table.putRestored(TestEndpoints.endpoint("e3", "west", "a"), 10));
+
+    assertEquals(List.of(ready), entries(table.holders(TestEndpoints.SERVICE, "a", 10)));
+    table.put(gone, 20);
+    assertEquals(2, table.holders(TestEndpoints.SERVICE, "a", 20).size());
+  }
+
+  @Test
+  @DisplayName("adopts from a restored list what is new there, and that an endpoint is leaving")
+  void newsInRestoredEntries() {
+    table.put(TestEndpoints.endpoint("e1", "west", "a"), 0);
+
+    assertTrue(table.putRestored(leaving(TestEndpoints.endpoint("e1", "west", "a")), 10));
+    assertTrue(table.putRestored(TestEndpoints.endpoint("e2", "west", "a"), 10));
+    assertEquals(1, table.holders(TestEndpoints.SERVICE, "a", 10).size());
+  }
+
+  @Test
+  @DisplayName("keeps an endpoint pending removal that only a restored list names")
+  void pendingRemovalInRestoredEntries() {
+    EndpointEntry entry = TestEndpoints.endpoint("e1", "west");
+    table.put(entry, 0);
+    table.storeRecovered(1_000);
+    table.remove("e1", 1_100);
+    table.storeRecovered(900);
+
+    assertFalse(table.putRestored(entry, 1_200));
+    assertEquals(List.of("e1"), table.expire(3_000));
+  }
+
+  private static EndpointEntry leaving(EndpointEntry e) {
+    return new EndpointEntry(
+        e.id(),
+        e.service(),
+        e.host(),
+        e.port(),
+        e.domain(),
+        e.slots(),
+        true,
+        e.removedInMs(),
+        e.startedAtMs(),
+        e.models(),
+        e.inMemory(),
+        e.onDisk());
+  }
+
+  private static List<EndpointEntry> entries(List<Endpoint> endpoints) {
+    return endpoints.stream().map(Endpoint::entry).toList();
+  }
+
   @Test
   @DisplayName("removes endpoints immediately while the store is available")
   void removed() {
--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/FleetStateUpdater.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/follow/FleetStateUpdater.java
@@ -5,6 +5,7 @@
 import io.kumquatspindle.api.fleet.ServiceInfo;
 import io.kumquatspindle.api.metrics.MetricsText;
 import io.kumquatspindle.engine.fleet.Endpoint;
+import io.kumquatspindle.engine.fleet.EndpointTable;
 import io.kumquatspindle.engine.fleet.EvacuatedDomains;
 import io.kumquatspindle.node.NodeContext;
 import io.kumquatspindle.node.port.MalformedRecordException;
@@ -22,6 +23,8 @@
   private final NodeContext node;
   private final RecordDecoder decoder;
   private final Consumer<FleetConfiguration> configurationListener;
+  private final Set<String> awaitedEvacuations = new HashSet<>();
+  private long awaitedUntilMs;
   private long newestPeerVersion;
 
   /**
@@ -51,10 +54,17 @@
         records.forEach(this::onRecord);
       }
 
+      @Override
+      public void onRestoredSnapshot(List<RecordStore.KeyedRecord> records) {
+        awaitEvacuations(evacuatedDomains(records));
+        records.forEach(this::onRecord);
+      }
+
       @Override
       public void onRecord(RecordStore.KeyedRecord record) {
         Optional<String> domain = decoder.evacuatedDomain(record.key());
         if (domain.isPresent()) {
+          awaitedEvacuations.remove(domain.get());
           apply(node.endpoints().updateEvacuation(domain.get(), exists(record)));
         } else if (decoder.isConfiguration(record.key()) && record.value().isPresent()) {
           applyConfiguration(record.value().get());
@@ -84,6 +94,35 @@
         .collect(Collectors.toSet());
   }
 
+  /**
+   * Keeps the evacuations that a store which has come back from an older copy does not list. Those
+   * that the operator has not written again after the grace period are over.
+   */
+  private void awaitEvacuations(Set<String> listed) {
+    awaitedEvacuations.clear();
+    awaitedEvacuations.addAll(node.endpoints().evacuations());
+    awaitedEvacuations.removeAll(listed);
+    long graceMs = restoredGraceMs();
+    awaitedUntilMs = node.now() + graceMs;
+    if (!awaitedEvacuations.isEmpty()) {
+      node.schedule(graceMs, this::endAwaitedEvacuations);
+    }
+  }
+
+  private void endAwaitedEvacuations() {
+    // The store may have come back from a copy again meanwhile.
+    if (node.now() < awaitedUntilMs) {
+      return;
+    }
+    awaitedEvacuations.forEach(d -> apply(node.endpoints().updateEvacuation(d, false)));
+    awaitedEvacuations.clear();
+  }
+
+  /** Returns the time until a record that is written again has been read, in ms. */
+  private long restoredGraceMs() {
+    return EndpointTable.STORE_RECOVERY_GRACE_MS + node.settings().endpointsReadDelayMs();
+  }
+
   private void apply(List<EvacuatedDomains.Change> changes) {
     for (EvacuatedDomains.Change c : changes) {
       String change = c.begun() ? "begun" : "ended";
@@ -157,6 +196,29 @@
         node.markEndpointsRead();
       }
 
+      @Override
+      public void onRestoredSnapshot(List<RecordStore.KeyedRecord> records) {
+        // A missing endpoint has time to write its entry, and this VM to read that, before it is
+        // taken as gone.
+        node.endpoints().storeRecovered(node.now() + node.settings().endpointsReadDelayMs());
+        int known = node.endpoints().all().size();
+        Set<String> ids = new HashSet<>();
+        int adopted = 0;
+        for (RecordStore.KeyedRecord r : records) {
+          if (r.value().isPresent()) {
+            ids.add(r.key());
+            adopted += applyRestored(r.key(), r.value().get()) ? 1 : 0;
+          }
+        }
+        node.endpoints().retain(ids, node.now());
+        node.log()
+            .line("endpoints_restored")
+            .field("known", known)
+            .field("listed", ids.size())
+            .field("adopted", adopted)
+            .write();
+      }
+
       @Override
       public void onRecord(RecordStore.KeyedRecord record) {
         applyEndpoint(record.key(), record.value());
@@ -182,6 +244,23 @@
     node.metrics().counter("cold_periods_total").inc();
   }
 
+  private boolean applyRestored(String id, byte[] value) {
+    try {
+      return node.endpoints().putRestored(decoder.decodeEndpoint(id, value), node.now());
+    } catch (MalformedRecordException | RuntimeException e) {
+      logUnreadable(id, e);
+      return false;
+    }
+  }
+
+  private void logUnreadable(String id, Exception e) {
+    node.log()
+        .line("endpoint_unreadable")
+        .field("endpoint", id)
+        .field("reason", e.getMessage())
+        .write();
+  }
+
   private void applyEndpoint(String id, Optional<byte[]> value) {
     if (value.isEmpty()) {
       node.log().line("endpoint_gone").field("endpoint", id).write();
@@ -208,11 +287,7 @@
         node.endpoints().find(id).filter(Endpoint::cold).ifPresent(this::logCold);
       }
     } catch (MalformedRecordException | RuntimeException e) {
-      node.log()
-          .line("endpoint_unreadable")
-          .field("endpoint", id)
-          .field("reason", e.getMessage())
-          .write();
+      logUnreadable(id, e);
     }
   }
 }
--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/follow/EvacuationRecordsTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/follow/EvacuationRecordsTests.java
@@ -117,6 +117,45 @@
     assertEquals(1, available());
   }
 
+  /** Brings the store back from a copy that was made before the last records. */
+  private void restore(int lostRecords) {
+    store.loseNewest(lostRecords);
+    node.storeEra().observe(node.storeEra().current() + 1);
+  }
+
+  @Test
+  @DisplayName("stays in force when the store comes back from a copy of before it began")
+  void begunSinceCopy() {
+    node.storeEra().observe(1);
+    reader.read();
+    time.advance(READ_DELAY_MS);
+    store.append("e/west", VALUE);
+    time.advance(node.settings().evacuateMs());
+    restore(1);
+    time.advance(1_500);
+    assertEquals(1, available());
+    store.append("e/west", VALUE);
+    time.advance(node.settings().evacuateMs());
+
+    assertEquals(1, available());
+    assertEquals(1, changes("begun"));
+    assertEquals(0, changes("ended"));
+  }
+
+  @Test
+  @DisplayName("ends if nobody writes its record again after that")
+  void notWrittenAgain() {
+    node.storeEra().observe(1);
+    reader.read();
+    time.advance(READ_DELAY_MS);
+    store.append("e/west", VALUE);
+    time.advance(node.settings().evacuateMs());
+    restore(1);
+    time.advance(node.settings().evacuateMs());
+
+    assertEquals(2, available());
+  }
+
   @Test
   @DisplayName("ends when a VM that missed the deletion reads a snapshot without the key")
   void missedDeletion() {
