--- a/kumquatspindle-node/src/test/java/io/kumquatspindle/node/follow/CrashRecordsTests.java
+++ b/kumquatspindle-node/src/test/java/io/kumquatspindle/node/follow/CrashRecordsTests.java
@@ -75,6 +75,46 @@
     await().atMost(Duration.ofSeconds(5)).until(() -> rejects(restarted));
   }
 
+  /**
+   * Guards against evidence that no VM has any more once all of them are restarted, since the store
+   * has come back from a copy of before it was written, and its writer is gone.
+   */
+  @Test
+  @DisplayName("that the store has lost is written again by a VM that has heard of it")
+  void lost() throws Exception {
+    NodeContext vm = vm();
+    run(
+        () -> {
+          new CrashRecords(vm, store);
+          vm.promptQuarantine().updateFromPeer(EVIDENCE, Set.of(), vm.now());
+          vm.storeEra().observe(1);
+          vm.storeEra().observe(2);
+        });
+    await().atMost(Duration.ofSeconds(10)).until(() -> store.records().size() == 2);
+
+    NodeContext restarted = vm();
+    run(() -> new CrashRecords(restarted, store).read());
+    await().atMost(Duration.ofSeconds(5)).until(() -> rejects(restarted));
+  }
+
+  @Test
+  @DisplayName("that the store still has is not written again")
+  void notLost() throws Exception {
+    NodeContext vm = vm();
+    run(
+        () -> {
+          CrashRecords records = new CrashRecords(vm, store);
+          vm.promptQuarantine().updateFromPeer(EVIDENCE, Set.of(), vm.now());
+          records.save(vm.promptQuarantine().evidence(vm.now()));
+          vm.storeEra().observe(1);
+          vm.storeEra().observe(2);
+        });
+    await().atMost(Duration.ofSeconds(10)).until(() -> store.newestReads() == 1);
+    run(() -> {});
+
+    assertEquals(2, store.records().size());
+  }
+
   @Test
   @DisplayName("of an unknown format is passed over")
   void malformed() throws Exception {
