--- a/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
+++ b/kumquatspindle-node/src/main/java/io/kumquatspindle/node/NodeProgram.java
@@ -340,9 +340,13 @@
 
   /**
    * Shuts the program down and blocks until it has stopped. Requests in progress are completed
-   * within the grace period; those that remain after it are cut off.
+   * within the grace period; those that remain after it are cut off. Nothing of the program runs on
+   * afterwards, so that the process may go on without it. Further calls have no effect.
    */
   public void stop() {
+    if (group.isShuttingDown()) {
+      return;
+    }
     long startMs = node.now();
     node.loop()
         .execute(
@@ -357,6 +361,7 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     node.log().close();
   }
 
