--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderLease.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/OrderLease.java
@@ -75,7 +75,7 @@
     if (order > 0) {
       fencedPartitions.clear();
     }
-    if (newGeneration.era() > generation.era() && !ownedUntil(sentMs, sentWallMs, now)) {
+    if (newGeneration.era() > generation.era() && !ownedWithoutGap(sentMs, sentWallMs, now)) {
       acquiredMs.clear();
     }
     generation = newGeneration;
@@ -92,7 +92,7 @@
    * Returns whether no other VM can have sent orders since the last renewal: one that acquired a
    * partition right after it would still be waiting.
    */
-  private boolean ownedUntil(long sentMs, long sentWallMs, long now) {
+  private boolean ownedWithoutGap(long sentMs, long sentWallMs, long now) {
     long responseMs = now - sentMs;
     long gapMs = responseMs + Math.max(sentMs - renewedMs, sentWallMs - renewedWallMs);
     return gapMs < handoverDelayMs;
