Store era: the first era that a store names after none is a new one

The first response, with or without an era, is now where a VM begins, and what is higher than that is new.

Test: StoreEraTests.firstNamedLater, which the code before could not pass: it told listeners nothing while no era was known.

--- a/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/StoreEra.java
+++ b/kumquatspindle-engine/src/main/java/io/kumquatspindle/engine/fleet/StoreEra.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 
 /**
  * The era of the store, which rises each time the store has come back from an older copy of its
@@ -17,7 +18,7 @@
   public static final long MAX = (1L << 20) - 1;
 
   private final List<Listener> listeners = new ArrayList<>();
-  private long current;
+  private OptionalLong current = OptionalLong.empty();
 
   /** Is notified of new eras. */
   public interface Listener {
@@ -42,27 +43,28 @@
   /**
    * Handles the era of something that was read from the store, by this VM or by another one. The
    * listeners are notified before this method returns, so that they see a new era before the data.
+   * A store that names its first era after it has named none has begun a new one.
    *
-   * @param era the era, 0 to {@link #MAX}; 0 if it is not known
+   * @param era the era, 1 to {@link #MAX}; 0 if the store named none
    * @return whether this is the current era; data of an earlier one must not be used
    */
   public boolean observe(long era) {
-    if (era > current) {
-      long before = current;
-      current = era;
-      if (before > 0) {
-        listeners.forEach(l -> l.onEraChanged(era, before));
-      }
+    long before = current.orElse(era);
+    if (current.isEmpty() || era > before) {
+      current = OptionalLong.of(era);
     }
-    return era == current;
+    if (era > before) {
+      listeners.forEach(l -> l.onEraChanged(era, before));
+    }
+    return era == current.getAsLong();
   }
 
   /**
    * Returns the current era.
    *
-   * @return the era; 0 while it is not known, or if the store has none
+   * @return the era; 0 while it is not known, or if the store has named none
    */
   public long current() {
-    return current;
+    return current.orElse(0);
   }
 }
--- a/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/StoreEraTests.java
+++ b/kumquatspindle-engine/src/test/java/io/kumquatspindle/engine/fleet/StoreEraTests.java
@@ -39,6 +39,15 @@
     assertEquals(List.of("3 to 4", "4 to 6"), changes);
   }
 
+  @Test
+  @DisplayName("changes when a store that has named none names its first one")
+  void firstNamedLater() {
+    assertTrue(era.observe(0));
+    assertTrue(era.observe(1));
+
+    assertEquals(List.of("0 to 1"), changes);
+  }
+
   @Test
   @DisplayName("does not go back for a late response, nor for one whose era is not known")
   void late() {
